Carry one request end to end through separate processes

Cause: the project had no code. A thin path through every process comes first, so that each later change can be measured on the whole path.

Ruled out: one binary with roles (the parts fail apart and are easier to replace apart), and net/http.Transport towards backend servers (it can replay a request; http.ClientConn gives one connection and no replay).

Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Every target works with Go alone.
+.PHONY: build demo test check bench capacity generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test:
+	go test ./...
+
+# Formatter and linters; CI runs the same.
+check:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+# Needs protoc. The generated code is committed, so a build does not run this.
+generate:
+	mkdir -p out
+	go build -o out/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=protoc-gen-go=out/protoc-gen-go --go_out=. \
+		--go_opt=module=github.com/wisteriacrank/wisteriacrank proto/wire.proto
--- /dev/null
+++ b/cmd/wisteria-standin/main.go
@@ -0,0 +1,22 @@
+// Command wisteria-standin runs a stand-in of the platform's store or of a
+// backend server. It serves tests and the demo only.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/standin"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := standin.Command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wisteria-standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderRequestID  = "Wisteria-Request-Id"
+	HeaderRank       = "Wisteria-Rank"
+	HeaderDeadline   = "Wisteria-Deadline-Ms"
+	HeaderIdempotent = "Wisteria-Idempotent"
+	HeaderHomeRegion = "Wisteria-Home-Region"
+	HeaderResult     = "Wisteria-Result"
+	HeaderClass      = "Wisteria-Class"
+	HeaderPath       = "Wisteria-Path"
+	HeaderStatus     = "Wisteria-Backend-Status"
+)
+
+const (
+	maxRequestIDBytes = 200
+	maxDeadline       = 10 * time.Minute
+)
+
+func (d *Daemon) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/requests/{service}/{path...}", d.serveCaller)
+	return mux
+}
+
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+	req, refused := d.parseRequest(w, r, time.Now())
+	if refused != nil {
+		writeAnswer(w, refusal(req, refused.Code, refused.Detail))
+		return
+	}
+	d.running.Add(1)
+	defer d.running.Done()
+	writeAnswer(w, d.own(r.Context(), req))
+}
+
+func (d *Daemon) parseRequest(w http.ResponseWriter, r *http.Request, now time.Time) (Request, *result.Error) {
+	req := Request{
+		ID:          r.Header.Get(HeaderRequestID),
+		Service:     model.Service(r.PathValue("service")),
+		Path:        r.PathValue("path"),
+		Rank:        model.Rank(r.Header.Get(HeaderRank)),
+		HomeRegion:  model.Region(r.Header.Get(HeaderHomeRegion)),
+		FromRegion:  d.settings.Host.Region,
+		ContentType: r.Header.Get("Content-Type"),
+	}
+	if req.ID == "" || len(req.ID) > maxRequestIDBytes {
+		return req, result.Errorf(result.BadRequest, "%s must have 1 to %d bytes", HeaderRequestID, maxRequestIDBytes)
+	}
+	millis, err := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64)
+	if err != nil || millis <= 0 || millis > maxDeadline.Milliseconds() {
+		return req, result.Errorf(result.BadRequest, "%s must be 1 to %d (milliseconds)", HeaderDeadline, maxDeadline.Milliseconds())
+	}
+	req.Deadline = now.Add(time.Duration(millis) * time.Millisecond)
+	req.Idempotent, err = strconv.ParseBool(r.Header.Get(HeaderIdempotent))
+	if err != nil {
+		return req, result.Errorf(result.BadRequest, "%s must be true or false", HeaderIdempotent)
+	}
+	if req.HomeRegion == "" {
+		req.HomeRegion = d.settings.Host.Region
+	}
+	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, d.settings.Limits.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return req, result.Errorf(result.BodyTooLarge, "limit is %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return req, result.Errorf(result.BadRequest, "read body: %v", err)
+	}
+	return req, nil
+}
+
+func writeAnswer(w http.ResponseWriter, a Answer) {
+	h := w.Header()
+	h.Set(HeaderRequestID, a.RequestID)
+	h.Set(HeaderResult, strconv.Itoa(int(a.Code)))
+	h.Set(HeaderClass, a.Code.Class().String())
+	h.Set(HeaderPath, strings.Join(a.Hops, " "))
+	if a.Code.Class() != result.ClassServed {
+		http.Error(w, fmt.Sprintf("%s: %s", a.Code, a.Detail), a.Code.HTTPStatus())
+		return
+	}
+	h.Set(HeaderStatus, strconv.Itoa(a.BackendStatus))
+	if a.ContentType != "" {
+		h.Set("Content-Type", a.ContentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.BackendStatus)
+	_, _ = w.Write(a.Body)
+}
--- /dev/null
+++ b/internal/entry/owner.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// own handles a request as its owner.
+func (d *Daemon) own(ctx context.Context, req Request) Answer {
+	view := d.watcher.Current()
+	if view == nil || view.Document == nil {
+		return refusal(req, result.NotReady, "no configuration yet")
+	}
+	if _, ok := view.Document.Service(req.Service); !ok {
+		return refusal(req, result.UnknownService, string(req.Service))
+	}
+	if _, ok := view.Document.Rank(req.Rank); !ok {
+		return refusal(req, result.UnknownRank, string(req.Rank))
+	}
+	if !req.Idempotent {
+		token, _, err := model.ParseRequestID(req.ID)
+		if err != nil {
+			return refusal(req, result.OwnerRequired, err.Error())
+		}
+		if token.Host != d.settings.Host.ID || token.Incarnation != d.incarnation {
+			return d.forwardToOwner(ctx, req, token, view)
+		}
+	}
+	answer := refusal(req, result.NoServer, "no dispatcher for "+string(req.Service))
+	for _, region := range regionOrder(view, d.settings.Host.Region) {
+		for _, host := range dispatchers(view, req.Service, region) {
+			answer = d.passOn(ctx, req, host, wirepb.Stage_STAGE_DISPATCH)
+			if answer.Code.Class() != result.ClassNotRun {
+				return answer
+			}
+		}
+	}
+	return answer
+}
+
+func (d *Daemon) forwardToOwner(ctx context.Context, req Request, token model.OwnerToken, view *localstate.View) Answer {
+	host, ok := view.Host(token.Host)
+	if !ok || host.EntryIncarnation != token.Incarnation {
+		return Answer{RequestID: req.ID, Code: result.OwnerGone, Detail: "owner is gone"}
+	}
+	return d.passOn(ctx, req, host, wirepb.Stage_STAGE_OWNER)
+}
+
+// passOn hands the request to one host, which may be this one.
+func (d *Daemon) passOn(ctx context.Context, req Request, host model.HostRecord, stage wirepb.Stage) Answer {
+	if host.Host == d.settings.Host.ID && stage == wirepb.Stage_STAGE_DISPATCH {
+		answer := d.dispatcher.dispatch(ctx, req)
+		answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
+		return answer
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	env := &wirepb.Envelope{Body: &wirepb.Envelope_ForwardRequest{
+		ForwardRequest: requestToWire(req, stage, time.Now()),
+	}}
+	reply, err := d.peers.Call(ctx, host.PeerAddress, env)
+	if err != nil {
+		return d.callFailed(req, err)
+	}
+	answer := answerFromWire(req, reply.GetForwardReply())
+	answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
+	return answer
+}
+
+func (d *Daemon) callFailed(req Request, err error) Answer {
+	var coded *result.Error
+	var lost *wire.CallError
+	switch {
+	case errors.As(err, &lost) && !lost.Sent:
+		return refusal(req, result.ConnectFailed, err.Error())
+	case errors.As(err, &coded):
+		return refusal(req, coded.Code, coded.Detail)
+	case !time.Now().Before(req.Deadline):
+		return refusal(req, result.DeadlineAfter, err.Error())
+	default:
+		return refusal(req, result.ConnectionLost, err.Error())
+	}
+}
+
+// regionOrder returns the own region, then the others in document order.
+func regionOrder(view *localstate.View, own model.Region) []model.Region {
+	order := []model.Region{own}
+	for _, r := range view.Document.Regions {
+		if r.Name != own {
+			order = append(order, r.Name)
+		}
+	}
+	return order
+}
+
+// Handle implements wire.Handler.
+func (d *Daemon) Handle(ctx context.Context, _ *wirepb.Hello, env *wirepb.Envelope, stream *wire.Stream) {
+	forward := env.GetForwardRequest()
+	if forward == nil {
+		_ = stream.Send(wire.FailureEnvelope(result.UnknownMessage, "entry hosts do not take this message"))
+		return
+	}
+	d.running.Add(1)
+	defer d.running.Done()
+	req := requestFromWire(forward, time.Now())
+	var answer Answer
+	if forward.Stage == wirepb.Stage_STAGE_OWNER {
+		answer = d.ownForwarded(ctx, req)
+	} else {
+		answer = d.dispatcher.dispatch(ctx, req)
+		answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
+	}
+	_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ForwardReply{ForwardReply: answerToWire(answer)}})
+}
+
+// ownForwarded handles a request that another host received. It is never
+// forwarded again, so two hosts with different views cannot pass it around.
+func (d *Daemon) ownForwarded(ctx context.Context, req Request) Answer {
+	token, _, err := model.ParseRequestID(req.ID)
+	if err != nil || token.Host != d.settings.Host.ID || token.Incarnation != d.incarnation {
+		return Answer{RequestID: req.ID, Code: result.OwnerGone, Detail: "another incarnation owned the request"}
+	}
+	return d.own(ctx, req)
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,108 @@
+// Package entry is the daemon that accepts callers' requests and carries them
+// to backend servers, as owner and as dispatcher.
+package entry
+
+import (
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// Request is one caller's request on its way.
+type Request struct {
+	ID          string
+	Service     model.Service
+	Path        string
+	Rank        model.Rank
+	HomeRegion  model.Region
+	FromRegion  model.Region
+	Idempotent  bool
+	Deadline    time.Time
+	Body        []byte
+	ContentType string
+	GrantID     uint64
+	Attempt     uint32
+}
+
+// Answer is the outcome of a request.
+type Answer struct {
+	RequestID   string
+	Code        result.Code
+	Detail      string
+	Body        []byte
+	ContentType string
+	// BackendStatus is the HTTP status of the backend server.
+	BackendStatus int
+	// Hops are the hosts and the backend server that handled the request.
+	Hops []string
+}
+
+func refusal(req Request, code result.Code, detail string) Answer {
+	return Answer{RequestID: req.ID, Code: code, Detail: detail}
+}
+
+func requestFromWire(m *wirepb.ForwardRequest, now time.Time) Request {
+	return Request{
+		ID:          m.RequestId,
+		Service:     model.Service(m.Service),
+		Path:        m.Path,
+		Rank:        model.Rank(m.Rank),
+		HomeRegion:  model.Region(m.HomeRegion),
+		FromRegion:  model.Region(m.FromRegion),
+		Idempotent:  m.Idempotent,
+		Deadline:    now.Add(time.Duration(m.RemainingMillis) * time.Millisecond),
+		Body:        m.Body,
+		ContentType: m.ContentType,
+		GrantID:     m.GrantId,
+		Attempt:     m.Attempt,
+	}
+}
+
+func requestToWire(req Request, stage wirepb.Stage, now time.Time) *wirepb.ForwardRequest {
+	return &wirepb.ForwardRequest{
+		RequestId:       req.ID,
+		Service:         string(req.Service),
+		Path:            req.Path,
+		Rank:            string(req.Rank),
+		HomeRegion:      string(req.HomeRegion),
+		FromRegion:      string(req.FromRegion),
+		Idempotent:      req.Idempotent,
+		RemainingMillis: req.Deadline.Sub(now).Milliseconds(),
+		Body:            req.Body,
+		ContentType:     req.ContentType,
+		GrantId:         req.GrantID,
+		Attempt:         req.Attempt,
+		Stage:           stage,
+	}
+}
+
+func answerToWire(a Answer) *wirepb.ForwardReply {
+	return &wirepb.ForwardReply{
+		RequestId:     a.RequestID,
+		Code:          uint32(a.Code),
+		Detail:        a.Detail,
+		Body:          a.Body,
+		BodyLength:    uint64(len(a.Body)),
+		ContentType:   a.ContentType,
+		BackendStatus: uint32(a.BackendStatus),
+		Hops:          a.Hops,
+	}
+}
+
+// answerFromWire checks that the reply belongs to the request and is whole.
+func answerFromWire(req Request, m *wirepb.ForwardReply) Answer {
+	if m == nil || m.RequestId != req.ID || m.BodyLength != uint64(len(m.Body)) {
+		return Answer{RequestID: req.ID, Code: result.AnswerTruncated, Detail: "reply is incomplete or of another request"}
+	}
+	return Answer{
+		RequestID:     m.RequestId,
+		Code:          result.Code(m.Code),
+		Detail:        m.Detail,
+		Body:          m.Body,
+		ContentType:   m.ContentType,
+		BackendStatus: int(m.BackendStatus),
+		Hops:          m.Hops,
+	}
+}
--- /dev/null
+++ b/internal/localstate/localstate.go
@@ -0,0 +1,158 @@
+// Package localstate keeps a daemon's view of the state that the agent of its
+// host feeds it.
+package localstate
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/wire"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+// View is one state of the agent. It is immutable.
+type View struct {
+	Generation model.Generation
+	Document   *document.Document
+	Meta       *wirepb.ConfigMeta
+	Hosts      []model.HostRecord
+	// Leaving are the backend servers that the host list marks as leaving.
+	Leaving   map[model.ServerID]bool
+	Latencies []*wirepb.RegionLatency
+	// Received is the local time at which the view arrived.
+	Received time.Time
+}
+
+// Host returns the record of a host.
+func (v *View) Host(id model.HostID) (model.HostRecord, bool) {
+	for _, h := range v.Hosts {
+		if h.Host == id {
+			return h, true
+		}
+	}
+	return model.HostRecord{}, false
+}
+
+const (
+	rewatchDelay   = 200 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
+	reportTimeout  = 2 * time.Second
+)
+
+// Watcher follows the agent. Its methods are safe for concurrent use.
+type Watcher struct {
+	client  *wire.Client
+	agent   string
+	current atomic.Pointer[View]
+	// OnChange is called for each new view, one at a time, from Run. Set it
+	// before Run.
+	OnChange func(*View)
+	// OnError is called when a state is refused or the agent is not reachable.
+	OnError func(error)
+}
+
+// NewWatcher returns a watcher of the agent at the address.
+func NewWatcher(client *wire.Client, agentAddress string) *Watcher {
+	return &Watcher{client: client, agent: agentAddress}
+}
+
+// Current returns the latest view, or nil before the first one.
+func (w *Watcher) Current() *View { return w.current.Load() }
+
+// Run follows the agent until ctx ends. The last view stays in force while
+// the agent is not reachable.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := w.watch(ctx); err != nil && ctx.Err() == nil && w.OnError != nil {
+			w.OnError(err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(rewatchDelay):
+		}
+	}
+}
+
+func (w *Watcher) watch(ctx context.Context) error {
+	request := &wirepb.Envelope{Body: &wirepb.Envelope_WatchState{WatchState: &wirepb.WatchState{}}}
+	stream, err := w.client.Open(ctx, w.agent, request)
+	if err != nil {
+		return fmt.Errorf("watch agent: %w", err)
+	}
+	defer stream.Close()
+	for {
+		env, err := stream.Receive()
+		if err != nil {
+			return fmt.Errorf("watch agent: %w", err)
+		}
+		if state := env.GetLocalState(); state != nil {
+			if err := w.apply(state); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// apply puts a state in force. A generation below the current one is refused:
+// an agent that restarted may not know the newest yet.
+func (w *Watcher) apply(state *wirepb.LocalState) error {
+	previous := w.current.Load()
+	view := &View{
+		Generation: model.Generation(state.Generation),
+		Meta:       state.Meta,
+		Leaving:    make(map[model.ServerID]bool, len(state.LeavingServers)),
+		Latencies:  state.Latencies,
+		Received:   time.Now(),
+	}
+	for _, h := range state.Hosts {
+		view.Hosts = append(view.Hosts, wire.RecordFromWire(h))
+	}
+	for _, name := range state.LeavingServers {
+		view.Leaving[model.ServerID(name)] = true
+	}
+	switch {
+	case previous != nil && view.Generation <= previous.Generation:
+		view.Generation, view.Document, view.Meta = previous.Generation, previous.Document, previous.Meta
+	case view.Generation == 0:
+		return nil
+	default:
+		doc, err := document.Parse(state.Document)
+		if err != nil {
+			return fmt.Errorf("generation %d: %w", view.Generation, err)
+		}
+		view.Document = doc
+	}
+	w.current.Store(view)
+	if w.OnChange != nil {
+		w.OnChange(view)
+	}
+	return nil
+}
+
+// Report tells the agent about this daemon once per interval until ctx ends.
+func (w *Watcher) Report(ctx context.Context, describe func() *wirepb.ReportLocal) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		w.ReportNow(ctx, describe())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// ReportNow tells the agent about this daemon once.
+func (w *Watcher) ReportNow(ctx context.Context, report *wirepb.ReportLocal) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	env := &wirepb.Envelope{Body: &wirepb.Envelope_ReportLocal{ReportLocal: report}}
+	if _, err := w.client.Call(ctx, w.agent, env); err != nil && ctx.Err() == nil && w.OnError != nil {
+		w.OnError(fmt.Errorf("report to agent: %w", err))
+	}
+}
--- /dev/null
+++ b/internal/standin/caller.go
@@ -0,0 +1,187 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// LookupAnswer is the part of a look-up answer that the caller uses.
+type LookupAnswer struct {
+	Generation   uint64 `json:"generation"`
+	CacheSeconds int    `json:"cache_seconds"`
+	HomeRegion   string `json:"home_region"`
+	Hosts        []struct {
+		Host    string `json:"host"`
+		Address string `json:"address"`
+		Region  string `json:"region"`
+		Owner   string `json:"owner"`
+	} `json:"hosts"`
+}
+
+// Call is one request of a caller.
+type Call struct {
+	Service    string
+	Block      string
+	Rank       string
+	Unique     string
+	Idempotent bool
+	Deadline   time.Duration
+	Body       string
+}
+
+// CallResult is the answer to a call.
+type CallResult struct {
+	RequestID string
+	Status    int
+	Result    int
+	Class     string
+	Path      string
+	Body      string
+}
+
+// Caller looks up entry hosts and sends requests. It is safe for concurrent
+// use.
+type Caller struct {
+	Client  *http.Client
+	Lookups []string
+}
+
+// Lookup asks the look-up daemons in turn.
+func (c *Caller) Lookup(ctx context.Context, service, block string) (LookupAnswer, error) {
+	err := errors.New("no look-up address")
+	for _, address := range c.Lookups {
+		var answer LookupAnswer
+		if answer, err = c.lookupAt(ctx, address, service, block); err == nil {
+			return answer, nil
+		}
+	}
+	return LookupAnswer{}, err
+}
+
+func (c *Caller) lookupAt(ctx context.Context, address, service, block string) (LookupAnswer, error) {
+	url := fmt.Sprintf("http://%s/v1/lookup?service=%s&block=%s", address, service, block)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return LookupAnswer{}, err
+	}
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		return LookupAnswer{}, fmt.Errorf("look up: %w", err)
+	}
+	defer resp.Body.Close()
+	var answer LookupAnswer
+	if resp.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("look up: status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return answer, fmt.Errorf("look up: %w", err)
+	}
+	if len(answer.Hosts) == 0 {
+		return answer, errors.New("look up: no entry host is ready")
+	}
+	return answer, nil
+}
+
+// Send sends the call to an entry host under the request ID.
+func (c *Caller) Send(ctx context.Context, address, requestID, homeRegion string, call Call) (CallResult, error) {
+	url := fmt.Sprintf("http://%s/v1/requests/%s/run", address, call.Service)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(call.Body)))
+	if err != nil {
+		return CallResult{}, err
+	}
+	req.Header.Set("Wisteria-Request-Id", requestID)
+	req.Header.Set("Wisteria-Rank", call.Rank)
+	req.Header.Set("Wisteria-Deadline-Ms", strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	req.Header.Set("Wisteria-Idempotent", strconv.FormatBool(call.Idempotent))
+	req.Header.Set("Wisteria-Home-Region", homeRegion)
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		return CallResult{}, fmt.Errorf("send request: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return CallResult{}, fmt.Errorf("read answer: %w", err)
+	}
+	code, _ := strconv.Atoi(resp.Header.Get("Wisteria-Result"))
+	return CallResult{
+		RequestID: resp.Header.Get("Wisteria-Request-Id"),
+		Status:    resp.StatusCode,
+		Result:    code,
+		Class:     resp.Header.Get("Wisteria-Class"),
+		Path:      resp.Header.Get("Wisteria-Path"),
+		Body:      string(body),
+	}, nil
+}
+
+func callCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "call",
+		Usage: "look up and send one request",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "lookup", Required: true, Usage: "address of a look-up daemon"},
+			&cli.StringFlag{Name: "service", Required: true},
+			&cli.StringFlag{Name: "block", Required: true, Usage: "client block of the caller"},
+			&cli.StringFlag{Name: "rank", Required: true},
+			&cli.StringFlag{Name: "unique", Required: true, Usage: "unique part of the request ID"},
+			&cli.BoolFlag{Name: "idempotent"},
+			&cli.DurationFlag{Name: "deadline", Value: 2 * time.Second},
+			&cli.StringFlag{Name: "body", Value: "hello"},
+			&cli.DurationFlag{Name: "wait", Value: 15 * time.Second, Usage: "how long to try the look-up"},
+		},
+		Action: runCall,
+	}
+}
+
+func runCall(ctx context.Context, cmd *cli.Command) error {
+	caller := &Caller{Client: &http.Client{}, Lookups: []string{cmd.String("lookup")}}
+	call := Call{
+		Service:    cmd.String("service"),
+		Block:      cmd.String("block"),
+		Rank:       cmd.String("rank"),
+		Unique:     cmd.String("unique"),
+		Idempotent: cmd.Bool("idempotent"),
+		Deadline:   cmd.Duration("deadline"),
+		Body:       cmd.String("body"),
+	}
+	answer, err := waitLookup(ctx, caller, call, cmd.Duration("wait"))
+	if err != nil {
+		return err
+	}
+	host := answer.Hosts[0]
+	got, err := caller.Send(ctx, host.Address, host.Owner+"."+call.Unique, answer.HomeRegion, call)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%-9s result=%d class=%s path=%q\n          %s\n", call.Rank, got.Result, got.Class, got.Path, got.Body)
+	if got.Class != "served" {
+		return errors.New("the request was not served")
+	}
+	return nil
+}
+
+func waitLookup(ctx context.Context, caller *Caller, call Call, wait time.Duration) (LookupAnswer, error) {
+	const interval = 200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		answer, err := caller.Lookup(ctx, call.Service, call.Block)
+		if err == nil {
+			return answer, nil
+		}
+		select {
+		case <-ctx.Done():
+			return LookupAnswer{}, err
+		case <-time.After(interval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/client.go
@@ -0,0 +1,155 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+const dialTimeout = time.Second
+
+// CallError is a call that got no reply.
+type CallError struct {
+	// Sent says that the peer may have received the request.
+	Sent bool
+	Err  error
+}
+
+func (e *CallError) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("call without reply: %v", e.Err)
+	}
+	return fmt.Sprintf("call not sent: %v", e.Err)
+}
+
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Client calls peers. It keeps one session per address and opens it on
+// demand. It is safe for concurrent use.
+type Client struct {
+	self     Identity
+	maxFrame int
+	dials    singleflight.Group
+
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+}
+
+// NewClient returns a client that greets peers as self.
+func NewClient(self Identity, maxFrameBytes int) *Client {
+	return &Client{self: self, maxFrame: maxFrameBytes, sessions: make(map[string]*yamux.Session)}
+}
+
+// Call sends one envelope and waits for one reply. A reply that is a Failure
+// is returned as *result.Error; every other error is a *CallError.
+func (c *Client) Call(ctx context.Context, address string, env *wirepb.Envelope) (*wirepb.Envelope, error) {
+	stream, err := c.Open(ctx, address, env)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	reply, err := stream.Receive()
+	if err != nil {
+		return nil, &CallError{Sent: true, Err: err}
+	}
+	if failure := reply.GetFailure(); failure != nil {
+		return nil, &result.Error{Code: result.Code(failure.Code), Detail: failure.Detail}
+	}
+	return reply, nil
+}
+
+// Open starts a call whose replies are read from the stream. The stream is
+// closed when ctx ends.
+func (c *Client) Open(ctx context.Context, address string, env *wirepb.Envelope) (*Stream, error) {
+	session, err := c.session(ctx, address)
+	if err != nil {
+		return nil, &CallError{Err: err}
+	}
+	conn, err := session.OpenStream()
+	if err != nil {
+		c.drop(address, session)
+		return nil, &CallError{Err: fmt.Errorf("open stream to %s: %w", address, err)}
+	}
+	stream := newStream(conn, c.maxFrame)
+	stream.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if err := stream.Send(env); err != nil {
+		stream.Close()
+		return nil, &CallError{Sent: true, Err: err}
+	}
+	return stream, nil
+}
+
+// Close ends all sessions.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, session := range c.sessions {
+		_ = session.Close()
+		delete(c.sessions, address)
+	}
+}
+
+func (c *Client) session(ctx context.Context, address string) (*yamux.Session, error) {
+	if session := c.cached(address); session != nil {
+		return session, nil
+	}
+	opened := c.dials.DoChan(address, func() (any, error) {
+		if session := c.cached(address); session != nil {
+			return session, nil
+		}
+		return c.dial(address)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case res := <-opened:
+		if res.Err != nil {
+			return nil, res.Err
+		}
+		return res.Val.(*yamux.Session), nil
+	}
+}
+
+func (c *Client) cached(address string) *yamux.Session {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	session := c.sessions[address]
+	if session == nil || session.IsClosed() {
+		delete(c.sessions, address)
+		return nil
+	}
+	return session
+}
+
+func (c *Client) dial(address string) (*yamux.Session, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	session, err := openSession(conn, c.self)
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("open session to %s: %w", address, err)
+	}
+	c.mu.Lock()
+	c.sessions[address] = session
+	c.mu.Unlock()
+	return session, nil
+}
+
+func (c *Client) drop(address string, session *yamux.Session) {
+	c.mu.Lock()
+	if c.sessions[address] == session {
+		delete(c.sessions, address)
+	}
+	c.mu.Unlock()
+	_ = session.Close()
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,71 @@
+// Package wire carries calls between the processes of the system: protobuf
+// envelopes in bounded frames over yamux streams, one stream per call.
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// DefaultMaxFrameBytes bounds one frame: the largest value that the store
+// holds is 1 MB, the rest leaves room for request bodies.
+const DefaultMaxFrameBytes = 9 << 20
+
+// maxGreetingBytes bounds the first frame of a connection, which comes from a
+// peer that is not known yet.
+const maxGreetingBytes = 4 << 10
+
+const lengthPrefixBytes = 4
+
+// WriteFrame writes one envelope.
+func WriteFrame(w io.Writer, env *wirepb.Envelope) error {
+	buf := make([]byte, lengthPrefixBytes, lengthPrefixBytes+proto.Size(env))
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, env)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	binary.BigEndian.PutUint32(buf, uint32(len(buf)-lengthPrefixBytes))
+	if _, err := w.Write(buf); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	return nil
+}
+
+// ReadFrame reads one envelope of at most maxBytes. A longer frame is not
+// read and yields a result.Error with code FrameTooLarge; bytes that are no
+// envelope, or one without a known body, yield UnknownMessage.
+func ReadFrame(r io.Reader, maxBytes int) (*wirepb.Envelope, error) {
+	var prefix [lengthPrefixBytes]byte
+	if _, err := io.ReadFull(r, prefix[:]); err != nil {
+		return nil, fmt.Errorf("read frame length: %w", err)
+	}
+	length := binary.BigEndian.Uint32(prefix[:])
+	if uint64(length) > uint64(maxBytes) {
+		return nil, result.Errorf(result.FrameTooLarge, "frame of %d bytes, limit %d", length, maxBytes)
+	}
+	payload := make([]byte, length)
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return nil, fmt.Errorf("read frame: %w", err)
+	}
+	env := &wirepb.Envelope{}
+	if err := proto.Unmarshal(payload, env); err != nil {
+		return nil, result.Errorf(result.UnknownMessage, "frame is no envelope: %v", err)
+	}
+	if env.Body == nil {
+		return nil, result.Errorf(result.UnknownMessage, "envelope has no known body")
+	}
+	return env, nil
+}
+
+// FailureEnvelope wraps an error for the peer.
+func FailureEnvelope(code result.Code, detail string) *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_Failure{
+		Failure: &wirepb.Failure{Code: uint32(code), Detail: detail},
+	}}
+}
--- /dev/null
+++ b/internal/wire/session.go
@@ -0,0 +1,120 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+const (
+	greetingTimeout   = 2 * time.Second
+	keepAliveInterval = time.Second
+	// keepAliveTimeout closes a session whose peer does not answer a keepalive.
+	// With the interval it abandons a silent peer within 3 s.
+	keepAliveTimeout = 1900 * time.Millisecond
+)
+
+// Identity is what a process says of itself when a connection opens.
+type Identity struct {
+	Environment string
+	Role        wirepb.Role
+	Host        model.HostID
+	Incarnation model.Incarnation
+}
+
+func (id Identity) hello() *wirepb.Envelope {
+	return &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: &wirepb.Hello{
+		Environment: id.Environment,
+		Role:        id.Role,
+		Host:        string(id.Host),
+		Incarnation: uint64(id.Incarnation),
+	}}}
+}
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = true
+	cfg.KeepAliveInterval = keepAliveInterval
+	cfg.ConnectionWriteTimeout = keepAliveTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// openSession greets the listener and starts the client side of a session.
+func openSession(conn net.Conn, self Identity) (*yamux.Session, error) {
+	if err := conn.SetDeadline(time.Now().Add(greetingTimeout)); err != nil {
+		return nil, fmt.Errorf("set greeting deadline: %w", err)
+	}
+	if err := WriteFrame(conn, self.hello()); err != nil {
+		return nil, err
+	}
+	reply, err := ReadFrame(conn, maxGreetingBytes)
+	if err != nil {
+		return nil, fmt.Errorf("greeting: %w", err)
+	}
+	if failure := reply.GetFailure(); failure != nil {
+		return nil, &result.Error{Code: result.Code(failure.Code), Detail: failure.Detail}
+	}
+	if reply.GetHelloReply() == nil {
+		return nil, result.Errorf(result.BadGreeting, "peer answered the greeting with another message")
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, fmt.Errorf("clear greeting deadline: %w", err)
+	}
+	return yamux.Client(conn, yamuxConfig())
+}
+
+// acceptSession checks the dialer's greeting and starts the server side of a
+// session. A peer of another environment is refused.
+func acceptSession(conn net.Conn, self Identity) (*yamux.Session, *wirepb.Hello, error) {
+	if err := conn.SetDeadline(time.Now().Add(greetingTimeout)); err != nil {
+		return nil, nil, fmt.Errorf("set greeting deadline: %w", err)
+	}
+	hello, err := readGreeting(conn, self.Environment)
+	if err != nil {
+		var refused *result.Error
+		if errors.As(err, &refused) {
+			_ = WriteFrame(conn, FailureEnvelope(refused.Code, refused.Detail))
+		}
+		return nil, nil, err
+	}
+	reply := &wirepb.Envelope{Body: &wirepb.Envelope_HelloReply{HelloReply: &wirepb.HelloReply{
+		Host:        string(self.Host),
+		Incarnation: uint64(self.Incarnation),
+	}}}
+	if err := WriteFrame(conn, reply); err != nil {
+		return nil, nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, nil, fmt.Errorf("clear greeting deadline: %w", err)
+	}
+	session, err := yamux.Server(conn, yamuxConfig())
+	return session, hello, err
+}
+
+func readGreeting(conn net.Conn, environment string) (*wirepb.Hello, error) {
+	env, err := ReadFrame(conn, maxGreetingBytes)
+	var malformed *result.Error
+	if errors.As(err, &malformed) {
+		return nil, result.Errorf(result.BadGreeting, "first frame: %v", err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	hello := env.GetHello()
+	if hello == nil {
+		return nil, result.Errorf(result.BadGreeting, "first frame is no greeting")
+	}
+	if hello.Environment != environment {
+		return nil, result.Errorf(result.BadGreeting, "environment %q, this host is in %q", hello.Environment, environment)
+	}
+	return hello, nil
+}
--- /dev/null
+++ b/pkg/rendezvous/rendezvous.go
@@ -0,0 +1,56 @@
+// Package rendezvous chooses members for keys by rendezvous hashing, so that
+// hosts with the same membership view agree without communication.
+package rendezvous
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the weight of a member for a key.
+func Score(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
+
+// Rank returns the members in descending order of their score for the key.
+func Rank(key string, members []string) []string {
+	ranked := append([]string(nil), members...)
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := Score(key, ranked[i]), Score(key, ranked[j])
+		if a != b {
+			return a > b
+		}
+		return ranked[i] < ranked[j]
+	})
+	return ranked
+}
+
+// Assign gives each key to one member, at most ceil(keys/members) keys each:
+// a key whose first choice is full goes to the next one. Keys are handled in
+// sorted order, so the result depends only on the two sets.
+func Assign(keys, members []string) map[string]string {
+	assigned := make(map[string]string, len(keys))
+	if len(members) == 0 {
+		return assigned
+	}
+	bound := (len(keys) + len(members) - 1) / len(members)
+	load := make(map[string]int, len(members))
+	sorted := append([]string(nil), keys...)
+	sort.Strings(sorted)
+	for _, key := range sorted {
+		for _, member := range Rank(key, members) {
+			if load[member] < bound {
+				load[member]++
+				assigned[key] = member
+				break
+			}
+		}
+	}
+	return assigned
+}
--- /dev/null
+++ b/pkg/result/result.go
@@ -0,0 +1,151 @@
+// Package result defines the numbered result codes of the system. The class
+// of a code says whether the request ran; docs/result-codes.md lists them.
+package result
+
+import "fmt"
+
+// Code is a numbered result.
+type Code uint32
+
+// Class groups the codes by what is known about the run of a request.
+type Class int
+
+// Classes of result codes.
+const (
+	ClassInvalid Class = iota
+	ClassServed
+	ClassNotRun
+	ClassUnknown
+	ClassProtocol
+	ClassOperator
+)
+
+var classNames = [...]string{"invalid", "served", "not-run", "unknown", "protocol", "operator"}
+
+func (c Class) String() string {
+	if int(c) >= len(classNames) || c < 0 {
+		return classNames[ClassInvalid]
+	}
+	return classNames[c]
+}
+
+// ParseClass reads the value of the Wisteria-Class header.
+func ParseClass(s string) (Class, error) {
+	for i, name := range classNames {
+		if name == s && i != int(ClassInvalid) {
+			return Class(i), nil
+		}
+	}
+	return ClassInvalid, fmt.Errorf("result class %q is not known", s)
+}
+
+// Result codes.
+const (
+	Served       Code = 100
+	ServedReplay Code = 101
+
+	NotReady          Code = 200
+	Stopping          Code = 201
+	UnknownService    Code = 202
+	UnknownRank       Code = 203
+	BadRequest        Code = 204
+	DeadlineBefore    Code = 205
+	QueueFull         Code = 206
+	WouldMissDeadline Code = 207
+	NoCapacity        Code = 208
+	NoGrant           Code = 209
+	MoveCapReached    Code = 210
+	LinkLimit         Code = 211
+	Quarantined       Code = 212
+	OwnerRequired     Code = 213
+	BodyTooLarge      Code = 214
+	ServerShed        Code = 215
+	NoServer          Code = 216
+	RequestIDReused   Code = 217
+	RecordsFull       Code = 218
+	ConnectFailed     Code = 219
+	NotDispatcher     Code = 220
+
+	ConnectionLost  Code = 300
+	DeadlineAfter   Code = 301
+	OwnerGone       Code = 302
+	ServerCrashed   Code = 303
+	AnswerTruncated Code = 304
+	TokenExpired    Code = 305
+	OwnerFailed     Code = 306
+
+	UnknownMessage Code = 400
+	FrameTooLarge  Code = 401
+	BadGreeting    Code = 402
+
+	DocumentInvalid  Code = 500
+	Conflict         Code = 501
+	StoreUnavailable Code = 502
+	WriteUnresolved  Code = 503
+	NotFound         Code = 504
+	WaitTimeout      Code = 505
+)
+
+// Info describes a code.
+type Info struct {
+	Code Code
+	Name string
+	// HTTPStatus is the status of an answer to a caller or operator.
+	HTTPStatus int
+	// ResendSafe says whether a resend with the same request ID is safe.
+	ResendSafe bool
+	Meaning    string
+	Action     string
+}
+
+// codesPerClass is the size of the number range of one class.
+const codesPerClass = 100
+
+// Class returns the class of the code's number range.
+func (c Code) Class() Class {
+	class := Class(c / codesPerClass)
+	if class > ClassOperator {
+		return ClassInvalid
+	}
+	return class
+}
+
+// Info returns the description of a code.
+func (c Code) Info() (Info, bool) {
+	info, ok := byCode[c]
+	return info, ok
+}
+
+// HTTPStatus returns the HTTP status that goes with the code.
+func (c Code) HTTPStatus() int {
+	info, ok := byCode[c]
+	if !ok {
+		return statusInternalError
+	}
+	return info.HTTPStatus
+}
+
+func (c Code) String() string {
+	if info, ok := byCode[c]; ok {
+		return fmt.Sprintf("%d %s", uint32(c), info.Name)
+	}
+	return fmt.Sprintf("%d", uint32(c))
+}
+
+// Error is an error that carries a result code.
+type Error struct {
+	Code   Code
+	Detail string
+}
+
+// Errorf returns an Error with a formatted detail.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return e.Code.String()
+	}
+	return fmt.Sprintf("%s: %s", e.Code, e.Detail)
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,79 @@
+#!/usr/bin/env bash
+# Starts a store, backend servers and four hosts in two regions on loopback,
+# sends one request of each rank, and stops everything.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=bin
+dir=$(mktemp -d)
+pids=()
+
+stop_all() {
+  local status=$?
+  trap - EXIT
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" || { echo "process $pid ended with status $?" >&2; status=1; }; done
+  rm -rf "$dir"
+  [ "$status" -eq 0 ] && echo "demo: all processes stopped"
+  exit "$status"
+}
+trap stop_all EXIT
+
+start() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >"$dir/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+start_host() { # ID REGION FAILURE-DOMAIN PORT-BASE
+  cat >"$dir/$1.ini" <<INI
+[host]
+id = $1
+environment = trial
+region = $2
+failure-domain = $3
+
+[listen]
+callers = 127.0.0.1:$(($4 + 0))
+peers = 127.0.0.1:$(($4 + 1))
+lookup = 127.0.0.1:$(($4 + 2))
+agent = 127.0.0.1:$(($4 + 3))
+operators = 127.0.0.1:$(($4 + 4))
+agent-metrics = 127.0.0.1:$(($4 + 5))
+entry-metrics = 127.0.0.1:$(($4 + 6))
+lookup-metrics = 127.0.0.1:$(($4 + 7))
+
+[store]
+url = http://127.0.0.1:7600
+
+[peers]
+agents = 127.0.0.1:7713, 127.0.0.1:7733
+INI
+  start "$1-agent" $bin/wisteria-agent --config "$dir/$1.ini"
+  start "$1-lookup" $bin/wisteria-lookup --config "$dir/$1.ini"
+  start "$1-entry" $bin/wisteria-entry --config "$dir/$1.ini"
+}
+
+start store $bin/wisteria-standin store --listen 127.0.0.1:7600
+start booking-desk-1 $bin/wisteria-standin backend --name booking-desk-1 --slots 4 --listen 127.0.0.1:7611
+start booking-desk-2 $bin/wisteria-standin backend --name booking-desk-2 --slots 4 --listen 127.0.0.1:7612
+start inspection-log-1 $bin/wisteria-standin backend --name inspection-log-1 --slots 4 --listen 127.0.0.1:7621
+start inspection-log-2 $bin/wisteria-standin backend --name inspection-log-2 --slots 4 --listen 127.0.0.1:7622
+start_host bagmati-1 bagmati bagmati-a 7710
+start_host bagmati-2 bagmati bagmati-b 7720
+start_host gandaki-1 gandaki gandaki-a 7730
+start_host gandaki-2 gandaki gandaki-b 7740
+
+for _ in $(seq 50); do
+  if $bin/wisteriactl --agent 127.0.0.1:7714 apply examples/demo/document.ini 2>"$dir/apply.log"; then
+    applied=1
+    break
+  fi
+  sleep 0.2
+done
+[ -n "${applied:-}" ] || { cat "$dir/apply.log" >&2; exit 1; }
+
+call() { $bin/wisteria-standin call --lookup 127.0.0.1:7712 --block 10.1.7.0/24 "$@"; }
+call --service booking-desk --rank check --unique demo-1 --idempotent
+call --service booking-desk --rank booking --unique demo-2
+call --service inspection-log --rank upload --unique demo-3 --idempotent --deadline 30s --body "photo"
