Add failure tests that run the daemons as real processes

Cause: nothing showed how the whole path behaves when processes are killed, frozen or restarted.

Ruled out: in-process daemons, which cannot be killed or frozen; a cluster simulator.

Change: internal/e2e builds the daemons, starts a fleet of four hosts in two regions on loopback with stand-ins in the test process, and injects faults.

--- /dev/null
+++ b/internal/e2e/faults_test.go
@@ -0,0 +1,343 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/platform"
+	"github.com/wisteriacrank/wisteriacrank/internal/standin"
+)
+
+// outcomes collects the answers to bookings that are resent until they are
+// settled.
+type outcomes struct {
+	mu     sync.Mutex
+	served map[string]bool
+	notRun map[string]bool
+}
+
+func newOutcomes() *outcomes {
+	return &outcomes{served: make(map[string]bool), notRun: make(map[string]bool)}
+}
+
+func (o *outcomes) note(id, class string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch class {
+	case "served":
+		o.served[id] = true
+	case "not-run":
+		o.notRun[id] = true
+	default:
+		delete(o.notRun, id)
+	}
+}
+
+// bookUntilSettled sends a booking and resends it under the same ID to every
+// host until it is served. A resend after *not run* that is refused again
+// stays *not run* only while no answer was *unknown*.
+func (f *fleet) bookUntilSettled(caller *standin.Caller, o *outcomes, answer standin.LookupAnswer, unique string) {
+	call := standin.Call{Service: "booking-desk", Rank: "booking", Deadline: 5 * time.Second, Body: unique}
+	first := answer.Hosts[0]
+	id := first.Owner + "." + unique
+	uncertain := false
+	for try := range 2 * len(f.hosts) {
+		address := first.Address
+		if try > 0 {
+			address = f.hosts[try%len(f.hosts)].callers
+		}
+		got, err := caller.Send(context.Background(), address, id, answer.HomeRegion, call)
+		if err != nil {
+			uncertain = true
+			continue
+		}
+		if got.Class == "unknown" {
+			uncertain = true
+		}
+		if got.Class == "not-run" && uncertain {
+			continue
+		}
+		o.note(id, got.Class)
+		if got.Class == "served" {
+			return
+		}
+	}
+	if uncertain {
+		o.note(id, "unknown")
+	}
+}
+
+// runsPerID counts the runs of each request on all backend servers.
+func (f *fleet) runsPerID() map[string]int {
+	counts := make(map[string]int)
+	for _, b := range f.backends {
+		for _, run := range b.Runs() {
+			counts[run.RequestID]++
+		}
+	}
+	return counts
+}
+
+func (f *fleet) checkBookings(o *outcomes) {
+	f.t.Helper()
+	counts := f.runsPerID()
+	for id, n := range counts {
+		if n > 1 {
+			f.t.Errorf("booking %s ran %d times", id, n)
+		}
+		if o.notRun[id] {
+			f.t.Errorf("booking %s was refused as not run, but ran", id)
+		}
+	}
+	for id := range o.served {
+		if counts[id] != 1 {
+			f.t.Errorf("booking %s was served but ran %d times", id, counts[id])
+		}
+	}
+	f.t.Logf("%d bookings ran, %d served, %d not run", len(counts), len(o.served), len(o.notRun))
+}
+
+// bookDuringFault sends bookings from several callers and injects the fault
+// half-way.
+func (f *fleet) bookDuringFault(o *outcomes, fault func()) {
+	const workers, perWorker = 8, 40
+	caller := f.caller()
+	answer, err := caller.Lookup(f.t.Context(), "booking-desk", "10.1.7.0/24")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var done sync.WaitGroup
+	halfway := make(chan struct{})
+	for w := range workers {
+		done.Go(func() {
+			for i := range perWorker {
+				if w == 0 && i == perWorker/2 {
+					close(halfway)
+				}
+				f.bookUntilSettled(caller, o, answer, fmt.Sprintf("w%d-%d", w, i))
+			}
+		})
+	}
+	<-halfway
+	fault()
+	done.Wait()
+}
+
+// Guards against a second run of a booking whose owner is killed while the
+// caller resends it to every host.
+func TestKilledOwnerRunsNoBookingTwice(t *testing.T) {
+	f := newFleet(t, defaultSpec())
+	f.waitReady(len(f.hosts))
+	o := newOutcomes()
+	f.bookDuringFault(o, func() { f.ownerOf("10.1.7.0/24").signal("entry", syscall.SIGKILL) })
+	f.checkBookings(o)
+}
+
+// Guards against a second run of a booking whose owner is frozen past every
+// timeout, while the caller resends it, and then resumes.
+func TestFrozenOwnerRunsNoBookingTwice(t *testing.T) {
+	f := newFleet(t, defaultSpec())
+	f.waitReady(len(f.hosts))
+	o := newOutcomes()
+	owner := f.ownerOf("10.1.7.0/24")
+	f.bookDuringFault(o, func() {
+		owner.signal("entry", syscall.SIGSTOP)
+		f.waitReady(len(f.hosts) - 1)
+		time.Sleep(6 * time.Second)
+		owner.signal("entry", syscall.SIGCONT)
+	})
+	f.waitReady(len(f.hosts))
+	f.checkBookings(o)
+}
+
+// ownerOf returns the host that a look-up names first.
+func (f *fleet) ownerOf(block string) *host {
+	f.t.Helper()
+	answer, err := f.caller().Lookup(f.t.Context(), "booking-desk", block)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, h := range f.hosts {
+		if h.name == answer.Hosts[0].Host {
+			return h
+		}
+	}
+	f.t.Fatalf("look-up names unknown host %s", answer.Hosts[0].Host)
+	return nil
+}
+
+// serveOne sends one check from the block and returns the answer.
+func (f *fleet) serveOne(block, unique, body string) (standin.CallResult, error) {
+	caller := f.caller()
+	answer, err := caller.Lookup(context.Background(), "booking-desk", block)
+	if err != nil {
+		return standin.CallResult{}, err
+	}
+	call := standin.Call{Service: "booking-desk", Rank: "check", Idempotent: true, Deadline: 5 * time.Second, Body: body}
+	return caller.Send(context.Background(), answer.Hosts[0].Address, unique, answer.HomeRegion, call)
+}
+
+// Guards against a host that needs the store to start or to stay in service:
+// the store goes down, and a host is replaced meanwhile.
+func TestStoreOutageWithRestartedHost(t *testing.T) {
+	f := newFleet(t, defaultSpec())
+	f.waitReady(len(f.hosts))
+	f.store.SetFaults(standin.Faults{Down: true})
+	replaced := f.hosts[1]
+	replaced.signalAll(syscall.SIGKILL)
+	for _, name := range daemons {
+		_ = replaced.wait(name)
+	}
+	f.waitReady(len(f.hosts) - 1)
+	replaced.startAll()
+	f.waitReady(len(f.hosts))
+	for i := range 20 {
+		got, err := f.serveOne("10.1.7.0/24", fmt.Sprintf("outage-%d", i), "x")
+		if err != nil || got.Class != "served" {
+			t.Errorf("request %d: %+v, %v", i, got, err)
+		}
+	}
+}
+
+// Guards against callers of a dead region that are sent nowhere.
+func TestRegionLossMovesItsCallers(t *testing.T) {
+	f := newFleet(t, defaultSpec())
+	f.waitReady(len(f.hosts))
+	lost := "gandaki"
+	for _, h := range f.hosts {
+		if h.region == lost {
+			h.signalAll(syscall.SIGKILL)
+		}
+	}
+	for name, b := range f.backends {
+		if strings.Contains(name, lost) {
+			b.close()
+		}
+	}
+	f.waitReady(len(f.hosts) / 2)
+	f.waitFor("a caller of the dead region is served", func() bool {
+		got, err := f.serveOne("10.2.7.0/24", "moved", "x")
+		return err == nil && got.Class == "served"
+	})
+}
+
+// Guards against new work for a backend server that the platform's host list
+// marks as leaving.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	f := newFleet(t, defaultSpec())
+	f.waitReady(len(f.hosts))
+	l := f.startLoad(4, 5*time.Millisecond)
+	leaving := "booking-desk-bagmati-1"
+	f.waitFor("the server gets work", func() bool { return len(f.backends[leaving].Runs()) > 0 })
+	f.store.SetMachines([]platform.Machine{{Name: leaving, State: platform.MachineLeaving}})
+	before := -1
+	f.waitFor("the server gets no work", func() bool {
+		runs := len(f.backends[leaving].Runs())
+		time.Sleep(time.Second)
+		before = len(f.backends[leaving].Runs())
+		return runs == before
+	})
+	sent := l.sent.Load()
+	f.waitFor("the others get more work", func() bool { return l.sent.Load() > sent+100 })
+	l.finish()
+	if got := len(f.backends[leaving].Runs()); got != before {
+		t.Errorf("the leaving server got %d requests", got-before)
+	}
+	for _, failure := range l.failures {
+		t.Error(failure)
+	}
+}
+
+// Guards against a request that crashes one backend server after the other
+// while its caller resends it to every host.
+func TestCrashingRequestStopsAfterTwoCrashesPerRegion(t *testing.T) {
+	s := defaultSpec()
+	s.servers = map[string]int{"booking-desk": 6}
+	f := newFleet(t, s)
+	f.waitReady(len(f.hosts))
+	l := f.startLoad(4, 5*time.Millisecond)
+	caller := f.caller()
+	call := standin.Call{Service: "booking-desk", Rank: "check", Idempotent: true, Deadline: 5 * time.Second, Body: standin.CrashMarker}
+	for round := range 3 {
+		for _, h := range f.hosts {
+			_, _ = caller.Send(t.Context(), h.callers, fmt.Sprintf("crash-%d", round), h.region, call)
+		}
+	}
+	l.finish()
+	for _, region := range s.regions {
+		crashes := 0
+		for name, b := range f.backends {
+			if strings.Contains(name, region) {
+				crashes += b.Crashes()
+			}
+		}
+		if crashes > 2 {
+			t.Errorf("%d crashes in %s, want at most 2", crashes, region)
+		}
+		t.Logf("%d crashes in %s", crashes, region)
+	}
+	const keptGoodput = 0.95
+	if float64(l.served.Load()) < keptGoodput*float64(l.sent.Load()) {
+		t.Errorf("other requests: %d of %d served", l.served.Load(), l.sent.Load())
+	}
+	t.Logf("other requests: %d of %d served", l.served.Load(), l.sent.Load())
+}
+
+// Guards against requests that are lost on a connection that has gone silent
+// while new connections work.
+func TestSilentConnectionsAreAbandoned(t *testing.T) {
+	f := newFleet(t, defaultSpec())
+	f.waitReady(len(f.hosts))
+	for i := range 20 {
+		if _, err := f.serveOne("10.1.7.0/24", fmt.Sprintf("warm-%d", i), "x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, b := range f.backends {
+		b.SetFaults(standin.BackendFaults{ReportedBusy: -1, Silent: true})
+	}
+	for i := range 10 {
+		got, err := f.serveOne("10.1.7.0/24", fmt.Sprintf("silent-%d", i), "x")
+		if err != nil || got.Class != "served" {
+			t.Errorf("request %d: %+v, %v", i, got, err)
+		}
+	}
+}
+
+// Guards against a change of the document that does not reach every host, and
+// against a host that goes back to an older one after a restart.
+func TestChangeReachesEveryHostAndStays(t *testing.T) {
+	s := defaultSpec()
+	f := newFleet(t, s)
+	f.waitReady(len(f.hosts))
+	caller := f.caller()
+	for round := range 5 {
+		s.moveCap = fmt.Sprintf("%d%%", 10+round)
+		generation := f.publish(f.document(s))
+		for _, h := range f.hosts {
+			f.waitFor(fmt.Sprintf("%s has generation %d", h.name, generation), func() bool {
+				caller.Lookups = []string{h.lookup}
+				answer, err := caller.Lookup(t.Context(), "booking-desk", "10.1.7.0/24")
+				return err == nil && answer.Generation >= generation
+			})
+		}
+		restarted := f.hosts[round%len(f.hosts)]
+		f.store.SetFaults(standin.Faults{Down: true})
+		restarted.signal("agent", syscall.SIGKILL)
+		_ = restarted.wait("agent")
+		restarted.start("agent")
+		for range 20 {
+			caller.Lookups = []string{restarted.lookup}
+			if answer, err := caller.Lookup(t.Context(), "booking-desk", "10.1.7.0/24"); err == nil && answer.Generation < generation {
+				t.Errorf("%s went back from generation %d to %d", restarted.name, generation, answer.Generation)
+			}
+			time.Sleep(pollInterval)
+		}
+		f.store.SetFaults(standin.Faults{})
+	}
+}
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,464 @@
+// Package e2e runs the daemons as real processes on loopback, with stand-ins
+// for the platform and the backend servers inside the test process.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/envobject"
+	"github.com/wisteriacrank/wisteriacrank/internal/platform"
+	"github.com/wisteriacrank/wisteriacrank/internal/standin"
+)
+
+const (
+	environment = "trial"
+	// pollInterval and patience bound only how long a test waits for a state
+	// before it gives up; no test asserts a duration.
+	pollInterval = 50 * time.Millisecond
+	patience     = 90 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "wisteriacrank-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
+	build.Stderr = os.Stderr
+	status := 1
+	if err := build.Run(); err == nil {
+		status = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// fleet is one deployment: a store, backend servers and hosts.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	store    *standin.Store
+	client   *platform.Client
+	storeURL string
+	backends map[string]*backendServer
+	hosts    []*host
+	nextIP   int
+}
+
+// spec describes a fleet. Every region has two failure domains.
+type spec struct {
+	regions        []string
+	hostsPerDomain int
+	// servers maps a service to its number of backend servers per region.
+	servers     map[string]int
+	slots       int
+	serviceTime time.Duration
+	cacheTime   time.Duration
+	moveCap     string
+}
+
+func defaultSpec() spec {
+	return spec{
+		regions:        []string{"bagmati", "gandaki"},
+		hostsPerDomain: 1,
+		servers:        map[string]int{"booking-desk": 2},
+		slots:          4,
+		serviceTime:    5 * time.Millisecond,
+		cacheTime:      time.Second,
+		moveCap:        "50%",
+	}
+}
+
+// loopbackIP returns a fresh address in 127.0.0.0/8. Addresses per host make
+// it unlikely that a kernel-chosen port is taken before its daemon binds it.
+func (f *fleet) loopbackIP() string {
+	f.nextIP++
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+os.Getpid()/250%250, f.nextIP)
+}
+
+func freeAddress(t *testing.T, ip string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newFleet(t *testing.T, s spec) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(), backends: make(map[string]*backendServer)}
+	f.storeURL = "http://" + f.serveStore()
+	f.client = platform.NewClient(f.storeURL)
+	for _, region := range s.regions {
+		for service, count := range s.servers {
+			for i := range count {
+				f.startBackend(fmt.Sprintf("%s-%s-%d", service, region, i+1), s)
+			}
+		}
+	}
+	for _, region := range s.regions {
+		for _, domain := range []string{"a", "b"} {
+			for i := range s.hostsPerDomain {
+				f.addHost(fmt.Sprintf("%s-%s%d", region, domain, i+1), region, region+"-"+domain)
+			}
+		}
+	}
+	f.publish(f.document(s))
+	for _, h := range f.hosts {
+		h.startAll()
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *fleet) serveStore() string {
+	listener, err := net.Listen("tcp", f.loopbackIP()+":0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// backendServer is a stand-in backend server that can crash and restart.
+type backendServer struct {
+	*standin.Backend
+	address string
+
+	mu     sync.Mutex
+	server *http.Server
+}
+
+func (f *fleet) startBackend(name string, s spec) {
+	b := &backendServer{address: freeAddress(f.t, f.loopbackIP())}
+	cfg := standin.BackendConfig{Name: name, Slots: s.slots, ServiceTime: s.serviceTime}
+	b.Backend = standin.NewBackend(cfg, b.close)
+	b.listen(f.t)
+	f.backends[name] = b
+	f.t.Cleanup(b.close)
+}
+
+func (b *backendServer) listen(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.mu.Lock()
+	b.server = b.Backend.Server()
+	server := b.server
+	b.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+}
+
+func (b *backendServer) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.server.Close()
+}
+
+func (f *fleet) document(s spec) string {
+	var doc strings.Builder
+	fmt.Fprintf(&doc, "[environment]\nname = e2e\ncache-time = %s\nmove-cap = %s\nmove-interval = 1s\n", s.cacheTime, s.moveCap)
+	for _, region := range s.regions {
+		fmt.Fprintf(&doc, "\n[region %s]\nfailure-domains = %s-a, %s-b\nentry-hosts = %d\nweight = 1\n",
+			region, region, region, 2*s.hostsPerDomain)
+	}
+	for i, a := range s.regions {
+		for _, b := range s.regions[i+1:] {
+			fmt.Fprintf(&doc, "\n[link %s %s]\nlimit = 4 Gbit/s\n", a, b)
+		}
+	}
+	doc.WriteString(`
+[rank check]
+priority = 1
+deadline = 5s
+guaranteed-share = 50%
+queue = 200
+
+[rank booking]
+priority = 2
+deadline = 10s
+guaranteed-share = 30%
+queue = 200
+
+[rank upload]
+priority = 3
+deadline = 30s
+guaranteed-share = 10%
+queue = 1000
+`)
+	for service, count := range s.servers {
+		fmt.Fprintf(&doc, "\n[service %s]\nanswer-timeout = 2500ms\nmax-body = 1024 KB\n", service)
+		for _, region := range s.regions {
+			for i := range count {
+				name := fmt.Sprintf("%s-%s-%d", service, region, i+1)
+				fmt.Fprintf(&doc, "\n[server %s]\nservice = %s\nregion = %s\nfailure-domain = %s-%s\naddress = %s\nslots = %d\nconnections = 100\n",
+					name, service, region, region, string("ab"[i%2]), f.backends[name].address, s.slots)
+			}
+		}
+	}
+	for i, region := range s.regions {
+		fmt.Fprintf(&doc, "\n[block 10.%d.0.0/16]\nregion = %s\n", i+1, region)
+	}
+	return doc.String()
+}
+
+// publish writes the document to the store and returns its generation.
+func (f *fleet) publish(document string) uint64 {
+	f.t.Helper()
+	value, err := envobject.Object{Document: document, AcceptedUnixMillis: time.Now().UnixMilli()}.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	version, err := f.client.Put(f.t.Context(), envobject.Key(environment), value, platform.AnyVersion)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return version
+}
+
+func (f *fleet) lookups() []string {
+	var addresses []string
+	for _, h := range f.hosts {
+		addresses = append(addresses, h.lookup)
+	}
+	return addresses
+}
+
+func (f *fleet) caller() *standin.Caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	f.t.Cleanup(transport.CloseIdleConnections)
+	return &standin.Caller{Client: &http.Client{Transport: transport}, Lookups: f.lookups()}
+}
+
+// waitReady waits until a look-up daemon of every host names n hosts.
+func (f *fleet) waitReady(n int) {
+	f.t.Helper()
+	for _, h := range f.hosts {
+		if h.running("lookup") {
+			f.waitNamed(h.lookup, n)
+		}
+	}
+}
+
+func (f *fleet) waitNamed(lookup string, n int) {
+	f.t.Helper()
+	caller := f.caller()
+	caller.Lookups = []string{lookup}
+	f.waitFor(fmt.Sprintf("%s names %d hosts", lookup, n), func() bool {
+		answer, err := caller.Lookup(f.t.Context(), "booking-desk", "10.1.7.0/24")
+		return err == nil && len(answer.Hosts) == n
+	})
+}
+
+func (f *fleet) waitFor(what string, holds func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			f.dumpLogs()
+			f.t.Fatalf("gave up waiting until %s", what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func (f *fleet) dumpLogs() {
+	for _, h := range f.hosts {
+		for name, p := range h.processes {
+			f.t.Logf("%s %s:\n%s", h.name, name, p.log.String())
+		}
+	}
+}
+
+func (f *fleet) stop() {
+	for _, h := range f.hosts {
+		for name := range h.processes {
+			h.signal(name, syscall.SIGCONT)
+			h.signal(name, syscall.SIGKILL)
+			h.wait(name)
+		}
+	}
+}
+
+// host is the three daemons of one host.
+type host struct {
+	fleet     *fleet
+	name      string
+	region    string
+	config    string
+	callers   string
+	lookup    string
+	operators string
+	processes map[string]*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	log  *syncBuffer
+	done chan struct{}
+	err  error
+}
+
+// syncBuffer collects a process's output while the test reads it.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+func (f *fleet) addHost(name, region, domain string) {
+	ip := f.loopbackIP()
+	h := &host{
+		fleet:     f,
+		name:      name,
+		region:    region,
+		config:    filepath.Join(f.dir, name+".ini"),
+		callers:   freeAddress(f.t, ip),
+		lookup:    freeAddress(f.t, ip),
+		operators: freeAddress(f.t, ip),
+		processes: make(map[string]*process),
+	}
+	agent := freeAddress(f.t, ip)
+	seeds := agent
+	if len(f.hosts) > 0 {
+		seeds = f.seeds()
+	}
+	text := fmt.Sprintf(`[host]
+id = %s
+environment = %s
+region = %s
+failure-domain = %s
+
+[listen]
+callers = %s
+peers = %s
+lookup = %s
+agent = %s
+operators = %s
+agent-metrics = %s
+entry-metrics = %s
+lookup-metrics = %s
+
+[store]
+url = %s
+
+[peers]
+agents = %s
+`, name, environment, region, domain, h.callers, freeAddress(f.t, ip), h.lookup, agent, h.operators,
+		freeAddress(f.t, ip), freeAddress(f.t, ip), freeAddress(f.t, ip), f.storeURL, seeds)
+	if err := os.WriteFile(h.config, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.hosts = append(f.hosts, h)
+}
+
+// seeds returns the agent addresses of the first hosts.
+func (f *fleet) seeds() string {
+	const maxSeeds = 3
+	var addresses []string
+	for _, h := range f.hosts[:min(maxSeeds, len(f.hosts))] {
+		text, err := os.ReadFile(h.config)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, line := range strings.Split(string(text), "\n") {
+			if address, ok := strings.CutPrefix(line, "agent = "); ok {
+				addresses = append(addresses, address)
+			}
+		}
+	}
+	return strings.Join(addresses, ", ")
+}
+
+var daemons = []string{"agent", "lookup", "entry"}
+
+func (h *host) startAll() {
+	for _, name := range daemons {
+		h.start(name)
+	}
+}
+
+func (h *host) start(name string) {
+	h.fleet.t.Helper()
+	p := &process{log: &syncBuffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binaries, "wisteria-"+name), "--config", h.config)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		h.fleet.t.Fatal(err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	h.processes[name] = p
+}
+
+func (h *host) running(name string) bool {
+	p := h.processes[name]
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (h *host) signal(name string, sig syscall.Signal) {
+	if h.running(name) {
+		_ = h.processes[name].cmd.Process.Signal(sig)
+	}
+}
+
+func (h *host) signalAll(sig syscall.Signal) {
+	for _, name := range daemons {
+		h.signal(name, sig)
+	}
+}
+
+// wait returns the exit error of a daemon.
+func (h *host) wait(name string) error {
+	p := h.processes[name]
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(patience):
+		h.fleet.t.Errorf("%s %s did not exit", h.name, name)
+		return context.DeadlineExceeded
+	}
+}
