Measure the decision packages on a fake clock with make bench

Cause: no figure showed whether the admission policy meets the design's targets, or whether it is better than a plain queue.

Ruled out: running the daemons under load (the machine is shared, so the figures would depend on it), and a simulator of the whole system (the design excludes it; between hosts the bench knows a delay and a byte budget only).

Change: internal/bench and cmd/wisteria-bench with both users in full size, eight scenarios, three baselines and the product's policy on the same arrivals.

Before: no figures.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 	go build -o out/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	protoc --plugin=protoc-gen-go=out/protoc-gen-go --go_out=. \
 		--go_opt=module=github.com/wisteriacrank/wisteriacrank proto/wire.proto
+
+bench: build
+	./bin/wisteria-bench
--- /dev/null
+++ b/cmd/wisteria-bench/main.go
@@ -0,0 +1,17 @@
+// Command wisteria-bench runs the scenarios of `make bench`.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/bench"
+)
+
+func main() {
+	if err := bench.Command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "wisteria-bench:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/bench/policy.go
@@ -0,0 +1,64 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/admission"
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+)
+
+// Policy names a way to queue requests and to choose dispatchers.
+type Policy struct {
+	Name string
+	// FIFO uses one queue for all ranks.
+	FIFO bool
+	// RoundRobin takes the dispatchers in turn instead of the one with the
+	// fewest outstanding requests.
+	RoundRobin bool
+	// Shares honours the guaranteed shares.
+	Shares bool
+	// Preempt cancels long runs for urgent work.
+	Preempt bool
+	// Hints uses what dispatchers report in their responses.
+	Hints bool
+	// Grants sends requests to other regions under capacity grants.
+	Grants bool
+	// MoveCap limits moved traffic.
+	MoveCap bool
+}
+
+// Names of the policies.
+const (
+	policyFIFO    = "fifo-round-robin"
+	policyLeast   = "least-outstanding"
+	policyStrict  = "strict-priority"
+	policyProduct = "product"
+)
+
+// Policies returns the three baselines and the product's policy.
+func Policies() []Policy {
+	return []Policy{
+		{Name: policyFIFO, FIFO: true, RoundRobin: true},
+		{Name: policyLeast, FIFO: true},
+		{Name: policyStrict},
+		Product(),
+	}
+}
+
+// Product returns the product's policy.
+func Product() Policy {
+	return Policy{Name: policyProduct, Shares: true, Preempt: true, Hints: true, Grants: true, MoveCap: true}
+}
+
+func (p Policy) newQueue(now time.Time, ranks []document.Rank) queue {
+	if p.FIFO {
+		return newFIFO(ranks)
+	}
+	if !p.Shares {
+		ranks = append([]document.Rank(nil), ranks...)
+		for i := range ranks {
+			ranks[i].GuaranteedShare = 0
+		}
+	}
+	return admission.New(now, ranks, 0)
+}
--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,60 @@
+package bench
+
+import "time"
+
+// Scenario is one kind of load or fault. The fault begins at Event.
+type Scenario struct {
+	Name string
+	// Load is the offered slot time as a share of the capacity.
+	Load float64
+	// FloodRank is the rank that floods from Event on, or noFlood. It offers
+	// FloodFactor times the capacity of every service.
+	FloodRank   int
+	FloodFactor float64
+	Fault       Fault
+	// Warmup is not measured. Event and End bound the two measured phases.
+	Warmup, Event, End time.Duration
+}
+
+// Fault is what happens at the event of a scenario besides a flood.
+type Fault int
+
+// Faults.
+const (
+	FaultNone Fault = iota
+	// FaultRegionLoss stops the last region; its callers use the others.
+	FaultRegionLoss
+	// FaultMove moves a third of the first region's callers to the others.
+	FaultMove
+	// FaultDrain drains every third server of every service.
+	FaultDrain
+)
+
+// movedShare is the part of the first region's callers that FaultMove moves.
+const movedShare = 1.0 / 3
+
+const noFlood = -1
+
+// Scenarios returns the scenarios of `make bench`.
+func Scenarios() []Scenario {
+	base := Scenario{Load: 0.7, FloodRank: noFlood, Warmup: 5 * time.Second, Event: 25 * time.Second, End: 45 * time.Second}
+	with := func(name string, change func(*Scenario)) Scenario {
+		s := base
+		s.Name = name
+		change(&s)
+		return s
+	}
+	flood := func(name string, rank int, factor float64) Scenario {
+		return with(name, func(s *Scenario) { s.FloodRank, s.FloodFactor = rank, factor })
+	}
+	return []Scenario{
+		with("steady-70", func(*Scenario) {}),
+		flood("upload-flood-3x", rankUpload, 3),
+		flood("upload-flood-10x", rankUpload, 10),
+		flood("check-flood-3x", rankCheck, 3),
+		flood("check-flood-10x", rankCheck, 10),
+		with("region-loss-60", func(s *Scenario) { s.Load, s.Fault = 0.6, FaultRegionLoss }),
+		with("cold-move-70", func(s *Scenario) { s.Fault = FaultMove }),
+		with("drain-third-55", func(s *Scenario) { s.Load, s.Fault = 0.55, FaultDrain }),
+	}
+}
--- /dev/null
+++ b/internal/bench/user.go
@@ -0,0 +1,130 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+// User is the size and the work of one user of the design page.
+type User struct {
+	Name    string
+	Regions []model.Region
+	// RegionShare is the part of the callers whose home is the region. It is
+	// uneven, so that the regions differ in load.
+	RegionShare []float64
+	EntryHosts  []int // per region
+	Services    []Service
+	Ranks       []document.Rank
+	// CallerDelay, DomainDelay and RegionDelay are one-way.
+	CallerDelay time.Duration
+	DomainDelay time.Duration
+	RegionDelay time.Duration
+	// LinkBytes is the limit of a link in bytes per second and direction.
+	LinkBytes    float64
+	MoveCap      float64
+	MoveInterval time.Duration
+}
+
+// Service is one service of a user.
+type Service struct {
+	Name        model.Service
+	Servers     int
+	Slots       int
+	Connections int
+	Work        []Work
+}
+
+// Work is what one rank asks of a service.
+type Work struct {
+	Rank int
+	// Share is the part of the service's slot time in the normal mix.
+	Share float64
+	// Run is the mean run time.
+	Run        time.Duration
+	Body       int // bytes
+	Idempotent bool
+}
+
+// Positions of the ranks in User.Ranks.
+const (
+	rankCheck = iota
+	rankOrder
+	rankUpload
+)
+
+const (
+	failureDomains = 2
+	// responseBytes is the size of every response.
+	responseBytes = 2 << 10
+	// gigabit is in bytes per second.
+	gigabit = 1e9 / 8
+)
+
+// Users returns the two users of the design page in their full size.
+func Users() []User {
+	return []User{ceuLigado(), sweepSewa()}
+}
+
+func ceuLigado() User {
+	return User{
+		Name:        "ceu-ligado",
+		Regions:     []model.Region{"lis", "opo", "fnc"},
+		RegionShare: []float64{0.40, 0.32, 0.28},
+		EntryHosts:  []int{7, 7, 6},
+		Services: []Service{
+			{Name: "passdesk", Servers: 20, Slots: 3, Connections: 800, Work: []Work{
+				{Rank: rankCheck, Share: 0.40, Run: 20 * time.Millisecond, Body: 1 << 10, Idempotent: true},
+				{Rank: rankOrder, Share: 0.25, Run: 60 * time.Millisecond, Body: 4 << 10},
+				{Rank: rankUpload, Share: 0.35, Run: 500 * time.Millisecond, Body: 256 << 10, Idempotent: true},
+			}},
+			{Name: "logvault", Servers: 12, Slots: 3, Connections: 800, Work: []Work{
+				{Rank: rankCheck, Share: 0.20, Run: 20 * time.Millisecond, Body: 1 << 10, Idempotent: true},
+				{Rank: rankUpload, Share: 0.80, Run: 800 * time.Millisecond, Body: 1 << 20, Idempotent: true},
+			}},
+		},
+		Ranks: []document.Rank{
+			{Name: "check", Priority: 1, Deadline: 400 * time.Millisecond, GuaranteedShare: 0.5, QueueLimit: 100},
+			{Name: "purchase", Priority: 2, Deadline: 3 * time.Second, GuaranteedShare: 0.3, QueueLimit: 100},
+			{Name: "upload", Priority: 3, Deadline: 30 * time.Second, GuaranteedShare: 0.15, QueueLimit: 500},
+		},
+		CallerDelay:  8 * time.Millisecond,
+		DomainDelay:  1500 * time.Microsecond,
+		RegionDelay:  35 * time.Millisecond,
+		LinkBytes:    4 * gigabit,
+		MoveCap:      0.10,
+		MoveInterval: time.Second,
+	}
+}
+
+func sweepSewa() User {
+	return User{
+		Name:        "sweep-sewa",
+		Regions:     []model.Region{"bagmati", "gandaki", "koshi"},
+		RegionShare: []float64{0.40, 0.32, 0.28},
+		EntryHosts:  []int{7, 7, 6},
+		Services: []Service{
+			{Name: "booking-desk", Servers: 16, Slots: 4, Connections: 650, Work: []Work{
+				{Rank: rankCheck, Share: 0.25, Run: 15 * time.Millisecond, Body: 1 << 10, Idempotent: true},
+				{Rank: rankOrder, Share: 0.35, Run: 80 * time.Millisecond, Body: 8 << 10},
+				{Rank: rankUpload, Share: 0.40, Run: 600 * time.Millisecond, Body: 512 << 10, Idempotent: true},
+			}},
+			{Name: "inspection-log", Servers: 12, Slots: 4, Connections: 650, Work: []Work{
+				{Rank: rankCheck, Share: 0.20, Run: 15 * time.Millisecond, Body: 1 << 10, Idempotent: true},
+				{Rank: rankUpload, Share: 0.80, Run: 900 * time.Millisecond, Body: 2 << 20, Idempotent: true},
+			}},
+		},
+		Ranks: []document.Rank{
+			{Name: "check", Priority: 1, Deadline: 500 * time.Millisecond, GuaranteedShare: 0.3, QueueLimit: 100},
+			{Name: "booking", Priority: 2, Deadline: 4 * time.Second, GuaranteedShare: 0.45, QueueLimit: 100},
+			{Name: "upload", Priority: 3, Deadline: 30 * time.Second, GuaranteedShare: 0.2, QueueLimit: 500},
+		},
+		CallerDelay:  time.Millisecond,
+		DomainDelay:  1500 * time.Microsecond,
+		RegionDelay:  12 * time.Millisecond,
+		LinkBytes:    4 * gigabit,
+		MoveCap:      0.10,
+		MoveInterval: time.Second,
+	}
+}
