--- a/pkg/inidoc/inidoc.go
+++ b/pkg/inidoc/inidoc.go
@@ -75,7 +75,7 @@
 	parsed := same[taken[name]]
 	taken[name]++
 	for i := range section.Keys {
-		section.Keys[i].Value = parsed.Key(section.Keys[i].Name).ValueWithShadows()[0]
+		section.Keys[i].Value = parsed.Key(section.Keys[i].Name).Value()
 	}
 }
 
