Check daemon settings strictly and print the effective ones

Cause: settings.Load took any key, any address and any section; a misspelt listen address showed only when a daemon failed to listen, agent-metrics was not read at all, and the limits could not be set.

Ruled out: a decoder into structs with tags (no line, no accepted values, one error at a time).

Conclusion: a wrong settings file is refused before anything listens. A store URL with credentials is refused, because the URL is printed.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -75,9 +75,9 @@
 func fields(names ...Name) []Name { return names }
 
 var table = []Info{
-	{DaemonStarted, logrus.InfoLevel, "daemon-started", fields(FieldHost, FieldRegion, FieldDomain, FieldIncarnation, FieldAddress), "The daemon listens."},
+	{DaemonStarted, logrus.InfoLevel, "daemon-started", fields(FieldHost, FieldRegion, FieldDomain), "The daemon starts with checked settings."},
 	{DaemonStopping, logrus.InfoLevel, "daemon-stopping", fields(FieldHost), "A graceful shutdown began."},
-	{DaemonStopped, logrus.InfoLevel, "daemon-stopped", fields(FieldHost, FieldElapsed), "The shutdown is complete; no request was interrupted."},
+	{DaemonStopped, logrus.InfoLevel, "daemon-stopped", fields(FieldHost, FieldElapsed), "The daemon ended without an error, this long after its start."},
 	{DaemonFailed, logrus.ErrorLevel, "daemon-failed", fields(FieldHost, FieldReason), "The daemon ends because it cannot serve."},
 	{EventsDropped, logrus.WarnLevel, "events-dropped", fields(FieldCount), "Lines that the rate limit dropped and no later line reported."},
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,12 +1,13 @@
-// Package settings reads the daemons' settings file. It is apart from the
-// operators' document: it says who and where this host is.
+// Package settings reads the daemons' settings file and checks it strictly. It
+// is apart from the operators' document: it says who and where this host is.
 package settings
 
 import (
 	"fmt"
+	"os"
+	"time"
 
-	"gopkg.in/ini.v1"
-
+	"github.com/wisteriacrank/wisteriacrank/pkg/inicheck"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
@@ -17,6 +18,8 @@
 	Store  Store
 	Peers  Peers
 	Limits Limits
+	// defaulted has the keys that the file leaves out, as "section.key".
+	defaulted map[string]bool
 }
 
 // Host is the section [host].
@@ -36,7 +39,9 @@
 	Agent   string
 	// Operators is the agent's operator API.
 	Operators string
-	// EntryMetrics and the other metrics addresses serve expvar.
+	// AgentMetrics and the other metrics addresses serve expvar. An empty one
+	// is not served.
+	AgentMetrics  string
 	EntryMetrics  string
 	LookupMetrics string
 }
@@ -54,43 +59,39 @@
 
 // Limits is the section [limits].
 type Limits struct {
+	// MaxBodyBytes bounds the body of a request or response, MaxFrameBytes a
+	// frame between processes, MaxHeaderBytes the header of an HTTP request.
 	MaxBodyBytes   int64
 	MaxFrameBytes  int
+	MaxHeaderBytes int
+	// MaxConnections bounds the open connections of one listener.
 	MaxConnections int
+	// MaxQueue bounds the requests that wait on this host over all services.
+	MaxQueue int
+	// HeaderTimeout and BodyTimeout bound how long a caller may take to send a
+	// header and a whole request; IdleTimeout closes unused connections.
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+	IdleTimeout   time.Duration
 }
 
-const (
-	defaultMaxBodyBytes   = 8 << 20
-	defaultMaxFrameBytes  = 9 << 20
-	defaultMaxConnections = 4096
-)
-
-// Load reads a settings file.
+// Load reads a settings file. The error has every fault of the file.
 func Load(path string) (*Settings, error) {
-	file, err := ini.Load(path)
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	host, listen := file.Section("host"), file.Section("listen")
-	s := &Settings{
-		Host: Host{
-			ID:            model.HostID(host.Key("id").String()),
-			Environment:   host.Key("environment").String(),
-			Region:        model.Region(host.Key("region").String()),
-			FailureDomain: model.FailureDomain(host.Key("failure-domain").String()),
-		},
-		Listen: Listen{
-			Callers:       listen.Key("callers").String(),
-			Peers:         listen.Key("peers").String(),
-			Lookup:        listen.Key("lookup").String(),
-			Agent:         listen.Key("agent").String(),
-			Operators:     listen.Key("operators").String(),
-			EntryMetrics:  listen.Key("entry-metrics").String(),
-			LookupMetrics: listen.Key("lookup-metrics").String(),
-		},
-		Store:  Store{URL: file.Section("store").Key("url").String()},
-		Peers:  Peers{Agents: file.Section("peers").Key("agents").Strings(",")},
-		Limits: Limits{MaxBodyBytes: defaultMaxBodyBytes, MaxFrameBytes: defaultMaxFrameBytes, MaxConnections: defaultMaxConnections},
+	s, faults := Check(path, string(text))
+	if len(faults) > 0 {
+		return nil, faults
 	}
 	return s, nil
 }
+
+// DefaultLimits returns the limits of a file without the section [limits].
+func DefaultLimits() Limits {
+	s := &Settings{}
+	checker := inicheck.New("defaults")
+	readSection(checker, s, missingSection(checker, "limits"))
+	return s.Limits
+}
--- a/pkg/inicheck/inicheck.go
+++ b/pkg/inicheck/inicheck.go
@@ -90,12 +90,17 @@
 	sections := make([]Section, 0, len(parsed))
 	for _, section := range parsed {
 		if !repeated[section.Line] {
-			sections = append(sections, Section{Section: section, checker: c})
+			sections = append(sections, c.Section(section))
 		}
 	}
 	return sections
 }
 
+// Section returns a section that reports its faults to the checker.
+func (c *Checker) Section(section inidoc.Section) Section {
+	return Section{Section: section, checker: c}
+}
+
 // acceptedLine describes the accepted form of a line.
 const acceptedLine = `a section "[NAME]", a key "name = value" on one line, or a comment after ";" or "#"`
 
