Resolve lost answers of promotions and ramp weight changes

Cause: a promotion wrote without a write ID, so a lost answer stayed unknown; the loser of a race got no word of the winner; the object did not keep the weights in force, so a second change of weights jumped; production could be written without trial.

Ruled out: reading back only once (while the object still has the base version, the first write may arrive later, so "not found" proves nothing); a ramp in steps per interval (changes more frequent than the interval, of any kind, would hold it up for ever); the document as plain text in the object (3,500 servers and 20,000 blocks make 1.2 MB, the store takes 1 MB).

A write without answer is read back; while the base version is there, the same write is sent again, at most three times; a failure after that is 503, never "not written". Status is an interface with JSON types. Code 506 bad-command.

Conclusion: two operators cannot both win, and a lost answer is resolved unless the store stays down.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -114,13 +114,13 @@
 
 	{StoreCallFailed, logrus.WarnLevel, "store-call-failed", fields(FieldReason, FieldElapsed), "A call to the store failed; it is repeated with backoff."},
 	{StoreReached, logrus.InfoLevel, "store-reached", fields(FieldElapsed), "The store answers again after an outage of this length."},
-	{StoreWriteUnsure, logrus.WarnLevel, "store-write-unsure", fields(FieldEnvironment, FieldReason), "The answer to a write was lost; the object is read back."},
+	{StoreWriteUnsure, logrus.WarnLevel, "store-write-unsure", fields(FieldEnvironment, FieldReason), "The answer to a write was lost and reading back did not tell whether it took effect."},
 	{HostListStale, logrus.WarnLevel, "host-list-stale", fields(FieldElapsed), "The platform's host list could not be read for this long."},
 
 	{PromotionAccepted, logrus.InfoLevel, "promotion-accepted", fields(FieldEnvironment, FieldGeneration, FieldAuthor), "A document was written to the store."},
 	{PromotionRefused, logrus.WarnLevel, "promotion-refused", fields(FieldEnvironment, FieldAuthor, FieldCode, FieldCount), "A document was refused, with this number of faults."},
 	{PromotionLostRace, logrus.WarnLevel, "promotion-lost-race", fields(FieldEnvironment, FieldGeneration, FieldAuthor), "Another change was accepted first; generation and author are the winner's."},
-	{PromotionReadBack, logrus.InfoLevel, "promotion-read-back", fields(FieldEnvironment, FieldGeneration, FieldState), "A lost answer was resolved by reading the object back."},
+	{PromotionReadBack, logrus.InfoLevel, "promotion-read-back", fields(FieldEnvironment, FieldGeneration), "A lost answer was resolved by reading the object back."},
 
 	{PeerConnectionLost, logrus.WarnLevel, "peer-connection-lost", fields(FieldPeer, FieldReason), "A connection to another process of the system ended."},
 	{GreetingRefused, logrus.WarnLevel, "greeting-refused", fields(FieldPeer, FieldReason), "A process of another environment or an unknown one was refused."},
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,98 +1,117 @@
-// Package operator serves the operators' HTTP API of an agent.
+// Package operator serves the operators' HTTP API of an agent: documents,
+// promotion and status.
 package operator
 
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/envobject"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/platform"
-	"github.com/wisteriacrank/wisteriacrank/pkg/document"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
-const maxDocumentBytes = 1 << 20
-
 // Handler serves the operators' API. It is safe for concurrent use.
 type Handler struct {
-	store platform.Store
-	mux   *http.ServeMux
+	store  platform.Store
+	status StatusSource
+	log    *events.Log
+	now    func() time.Time
+	mux    *http.ServeMux
 }
 
+// Option changes a handler.
+type Option func(*Handler)
+
+// WithStatus serves the status of the source.
+func WithStatus(source StatusSource) Option { return func(h *Handler) { h.status = source } }
+
+// WithLog logs promotions.
+func WithLog(log *events.Log) Option { return func(h *Handler) { h.log = log } }
+
+// WithClock replaces the clock of acceptance times.
+func WithClock(now func() time.Time) Option { return func(h *Handler) { h.now = now } }
+
 // NewHandler returns the API on top of the store.
-func NewHandler(store platform.Store) *Handler {
-	h := &Handler{store: store, mux: http.NewServeMux()}
+func NewHandler(store platform.Store, options ...Option) *Handler {
+	h := &Handler{store: store, now: time.Now, mux: http.NewServeMux()}
+	for _, option := range options {
+		option(h)
+	}
 	h.mux.HandleFunc("GET /v1/documents/{environment}", h.getDocument)
 	h.mux.HandleFunc("PUT /v1/documents/{environment}", h.putDocument)
+	h.mux.HandleFunc("POST /v1/promotions", h.promote)
+	h.mux.HandleFunc("GET /v1/status", h.getStatus)
 	return h
 }
 
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
 
-func (h *Handler) getDocument(w http.ResponseWriter, r *http.Request) {
-	object, err := h.store.Get(r.Context(), envobject.Key(r.PathValue("environment")))
-	if err != nil {
-		refuse(w, err)
+func (h *Handler) getStatus(w http.ResponseWriter, r *http.Request) {
+	if h.status == nil {
+		refuse(w, problem(result.NotFound, "this agent has no status"))
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(object)
-}
-
-func (h *Handler) putDocument(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocumentBytes))
+	status, err := h.status.Status(r.Context())
 	if err != nil {
-		refuse(w, result.Errorf(result.DocumentInvalid, "%v", err))
+		refuse(w, toProblem(err))
 		return
 	}
-	ifVersion, err := strconv.ParseUint(r.URL.Query().Get("if-version"), 10, 64)
-	if err != nil {
-		refuse(w, result.Errorf(result.BadRequest, "if-version: %v", err))
-		return
-	}
-	if _, err := document.Parse(string(text)); err != nil {
-		refuse(w, result.Errorf(result.DocumentInvalid, "%v", err))
+	answer(w, status)
+}
+
+func (h *Handler) getDocument(w http.ResponseWriter, r *http.Request) {
+	environment := r.PathValue("environment")
+	p := newPromotion(h.store, envobject.Key(environment), 0, envobject.Change{})
+	if err := p.read(r.Context()); err != nil {
+		refuse(w, toProblem(err))
 		return
 	}
-	value, err := envobject.Object{
-		Document:           string(text),
-		AcceptedUnixMillis: time.Now().UnixMilli(),
-	}.Encode()
-	if err != nil {
-		refuse(w, err)
+	if p.object == nil {
+		refuse(w, problem(result.NotFound, "environment %q has no document", environment))
 		return
 	}
-	version, err := h.store.Put(r.Context(), envobject.Key(r.PathValue("environment")), value, ifVersion)
-	if err != nil {
-		refuse(w, err)
-		return
+	answer(w, describe(environment, p.object, p.version))
+}
+
+func describe(environment string, object *envobject.Object, version uint64) Document {
+	return Document{
+		Environment: environment,
+		Version:     version,
+		Author:      object.Latest().Author,
+		Accepted:    object.Accepted().UTC().Format(time.RFC3339),
+		Source:      object.Latest().Source,
+		Text:        object.Document,
 	}
+}
+
+func answer(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]uint64{"version": version})
+	_ = json.NewEncoder(w).Encode(value)
 }
 
-func refuse(w http.ResponseWriter, err error) {
-	code := codeOf(err)
-	w.Header().Set("Wisteria-Result", strconv.Itoa(int(code)))
-	http.Error(w, err.Error(), code.HTTPStatus())
+func refuse(w http.ResponseWriter, p *Problem) {
+	w.Header().Set("Wisteria-Result", strconv.Itoa(int(p.Code)))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(p.Code.HTTPStatus())
+	_ = json.NewEncoder(w).Encode(p)
 }
 
-func codeOf(err error) result.Code {
+// toProblem gives an error of the store its result code.
+func toProblem(err error) *Problem {
 	var coded *result.Error
 	switch {
 	case errors.As(err, &coded):
-		return coded.Code
+		return problem(coded.Code, "%s", coded.Detail)
 	case errors.Is(err, platform.ErrNotFound):
-		return result.NotFound
-	case errors.Is(err, platform.ErrConflict):
-		return result.Conflict
+		return problem(result.NotFound, "%v", err)
 	case errors.Is(err, platform.ErrUncertain):
-		return result.WriteUnresolved
+		return problem(result.WriteUnresolved, "%v", err)
 	default:
-		return result.StoreUnavailable
+		return problem(result.StoreUnavailable, "%v", err)
 	}
 }
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,126 @@
+package operator
+
+import "context"
+
+// StatusSource tells what is known of the environment. The agent implements
+// it; it must be safe for concurrent use.
+type StatusSource interface {
+	Status(ctx context.Context) (Status, error)
+}
+
+// Status is the state of an environment as one agent sees it.
+type Status struct {
+	Environment string `json:"environment"`
+	// Agent is the host that reports.
+	Agent string `json:"agent"`
+	// Generation is the highest one that the agent knows.
+	Generation uint64 `json:"generation"`
+	// StoreSeconds is the time since the store last answered the agent.
+	StoreSeconds float64        `json:"store_seconds"`
+	Regions      []RegionStatus `json:"regions"`
+	// Lagging are the hosts below Generation.
+	Lagging     []LaggingHost  `json:"lagging,omitempty"`
+	Hosts       []HostStatus   `json:"hosts,omitempty"`
+	Drains      []DrainStatus  `json:"drains,omitempty"`
+	Moves       []MoveStatus   `json:"moves,omitempty"`
+	Grants      []GrantStatus  `json:"grants,omitempty"`
+	Floods      []FloodStatus  `json:"floods,omitempty"`
+	Quarantined []Quarantined  `json:"quarantined,omitempty"`
+	Weights     []RegionWeight `json:"weights,omitempty"`
+}
+
+// RegionStatus is the configuration in force in a region.
+type RegionStatus struct {
+	Region string `json:"region"`
+	// InForce is the lowest generation among the live hosts of the region.
+	InForce uint64 `json:"in_force"`
+	Live    int    `json:"live"`
+	Ready   int    `json:"ready"`
+}
+
+// LaggingHost is a live host with an older generation.
+type LaggingHost struct {
+	Host       string `json:"host"`
+	Region     string `json:"region"`
+	Generation uint64 `json:"generation"`
+}
+
+// HostStatus is the membership record of a host.
+type HostStatus struct {
+	Host          string `json:"host"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	// State is starting, ready, stopping, suspect, dead or left.
+	State       string `json:"state"`
+	Generation  uint64 `json:"generation"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// DrainStatus is a backend server that is leaving.
+type DrainStatus struct {
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	Region  string `json:"region"`
+	// Cause is document, host-list, health or response.
+	Cause string `json:"cause"`
+	// InFlight is the number of requests that still run on it.
+	InFlight int     `json:"in_flight"`
+	Seconds  float64 `json:"seconds"`
+}
+
+// MoveStatus is traffic whose home is another region.
+type MoveStatus struct {
+	Region string `json:"region"`
+	Home   string `json:"home"`
+	// InUse and Limit are concurrent requests.
+	InUse int `json:"in_use"`
+	Limit int `json:"limit"`
+}
+
+// GrantStatus is the capacity that a region granted to another.
+type GrantStatus struct {
+	Region  string `json:"region"`
+	To      string `json:"to"`
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+}
+
+// FloodStatus is a rank whose load exceeds its share.
+type FloodStatus struct {
+	Region           string  `json:"region"`
+	Service          string  `json:"service"`
+	Rank             string  `json:"rank"`
+	Waiting          int     `json:"waiting"`
+	RefusedPerSecond float64 `json:"refused_per_second"`
+}
+
+// Quarantined counts the suspected and convicted requests of a service.
+type Quarantined struct {
+	Region    string `json:"region"`
+	Service   string `json:"service"`
+	Suspected int    `json:"suspected"`
+	Convicted int    `json:"convicted"`
+}
+
+// RegionWeight is the share of a region while weights change.
+type RegionWeight struct {
+	Region    string  `json:"region"`
+	Effective float64 `json:"effective"`
+	Target    float64 `json:"target"`
+}
+
+// InForce reports whether the generation is in force in every region and on
+// every live host.
+func (s Status) InForce(generation uint64) bool {
+	for _, region := range s.Regions {
+		if region.InForce < generation {
+			return false
+		}
+	}
+	for _, host := range s.Lagging {
+		if host.Generation < generation {
+			return false
+		}
+	}
+	return len(s.Regions) > 0
+}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -84,6 +84,7 @@
 	WriteUnresolved  Code = 503
 	NotFound         Code = 504
 	WaitTimeout      Code = 505
+	BadCommand       Code = 506
 )
 
 // Info describes a code.
--- a/pkg/result/table.go
+++ b/pkg/result/table.go
@@ -63,4 +63,5 @@
 	{WriteUnresolved, "write-unresolved", http.StatusGatewayTimeout, true, "The store's answer was lost and could not be read back.", "Run status before trying again."},
 	{NotFound, "not-found", http.StatusNotFound, true, "The object does not exist.", "Check the name."},
 	{WaitTimeout, "wait-timeout", http.StatusGatewayTimeout, true, "The awaited state was not reached in time.", "Run status."},
+	{BadCommand, "bad-command", http.StatusBadRequest, true, "A value of the command is missing or not accepted.", "Correct the command."},
 }
