Keep the pressure of a refused move for one interval

Cause: the dispatcher evaluates the limiter on every tick. The flag of a refusal was cleared by the next evaluation, which then found no use and reset the limit, so callers that come back every 400 ms were never admitted.

Ruled out: evaluating less often, because the rise must not depend on how often a dispatcher looks.

Change: a refusal counts as pressure for one interval.

Conclusion: the rise is bounded by time alone, as before.

--- a/pkg/movecap/limiter.go
+++ b/pkg/movecap/limiter.go
@@ -55,10 +55,11 @@
 
 	limit float64
 	use   int
-	// refused says that a request was refused since the last evaluation.
-	refused bool
-	peak    recentPeak
-	at      time.Time
+	// refusedAt is the time of the latest refusal. Refused callers come back
+	// after a while, so a refusal counts as pressure for one interval.
+	refusedAt time.Time
+	peak      recentPeak
+	at        time.Time
 }
 
 // New returns a limiter whose limit is 0. The cap is the share of the slots
@@ -83,7 +84,7 @@
 // Start admits a moved request or refuses it with result.MoveCapReached.
 func (l *Limiter) Start(now time.Time) result.Code {
 	if l.use+1 > l.whole() {
-		l.refused = true
+		l.refusedAt = now
 	}
 	l.evaluate(now)
 	if l.use+1 > l.whole() {
@@ -157,7 +158,7 @@
 	peak := l.recentUse(now)
 	headroom := max(1, l.step())
 	switch {
-	case l.refused || (l.use > 0 && l.limit < float64(peak)+headroom):
+	case l.isPressed(now) || (l.use > 0 && l.limit < float64(peak)+headroom):
 		return eventPressed
 	case peak == 0 && l.use == 0:
 		return eventIdle
@@ -168,12 +169,15 @@
 	}
 }
 
+func (l *Limiter) isPressed(now time.Time) bool {
+	return !l.refusedAt.IsZero() && now.Sub(l.refusedAt) < l.interval
+}
+
 func (l *Limiter) act(action string, now time.Time, elapsed time.Duration) {
 	ceiling := float64(l.recentUse(now)) + max(1, l.step())
 	switch action {
 	case actionRise:
 		l.limit = min(l.limit+l.rise(elapsed), ceiling, float64(l.slots))
-		l.refused = false
 	case actionLower:
 		l.limit = min(l.limit, ceiling)
 	case actionReset:
--- a/pkg/movecap/limiter_test.go
+++ b/pkg/movecap/limiter_test.go
@@ -124,3 +124,18 @@
 		}
 	}
 }
+
+// Guards against a limit that falls back to 0 between two attempts of a
+// refused caller, because the dispatcher evaluates it in between.
+func TestLimitRisesBetweenSparseAttempts(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := New(now, 0.5, time.Second)
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		l.SetSlots(now, 4, false)
+		if now.UnixMilli()%400 == 0 && l.Start(now) == result.Served {
+			return
+		}
+	}
+	t.Errorf("no request was admitted in 5 s, limit %d", l.Limit(now))
+}
