Dispatch through the rank queue, slots, grants and caps

Cause: the dispatcher picked any free slot, refused when there was none, and accepted whatever other regions sent.

Ruled out: choosing the dispatcher by the owner's own outstanding requests alone (a report with every answer is free); waiting at the owner for local capacity (the dispatcher's rank queue is the place to wait).

Change: one scheduler per service around pkg/admission, pkg/slots, pkg/grant and pkg/movecap; the owner's side of grants, link budgets per host, and pkg/balance, which picks the less loaded of two dispatchers. A request waits at its owner only for a rising move cap or for grants of a service without local servers.

Before: TestBurstIsSpreadWithoutNewReports has no counterpart; owners tried dispatchers in order. After: of 90 requests in a burst each of three dispatchers gets 25 to 35. `make demo` serves the upload under a grant of the other region.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -1,23 +1,24 @@
 package entry
 
 import (
-	"context"
 	"sync"
+	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/backend"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
 	"github.com/wisteriacrank/wisteriacrank/pkg/document"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/rendezvous"
-	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+	"github.com/wisteriacrank/wisteriacrank/pkg/slots"
 )
 
 // assignment maps the backend servers of a service and region to their
-// dispatchers.
+// dispatchers. Leaving servers stay assigned, so that their runs can end
+// under the dispatcher that counts them.
 func assignment(view *localstate.View, service model.Service, region model.Region) map[model.ServerID]model.HostID {
 	var keys, members []string
 	for _, s := range view.Document.Servers {
-		if s.Service == service && s.Region == region && !s.Drain && !view.Leaving[s.Name] {
+		if s.Service == service && s.Region == region {
 			keys = append(keys, string(s.Name))
 		}
 	}
@@ -33,105 +34,112 @@
 	return assigned
 }
 
-// dispatchers returns the hosts that dispatch to a service in a region.
-func dispatchers(view *localstate.View, service model.Service, region model.Region) []model.HostRecord {
-	seen := make(map[model.HostID]bool)
-	for _, host := range assignment(view, service, region) {
-		seen[host] = true
-	}
-	var hosts []model.HostRecord
-	for _, h := range view.Hosts {
-		if seen[h.Host] {
-			hosts = append(hosts, h)
-		}
-	}
-	return hosts
-}
-
 // dispatcher sends requests to the backend servers that this host is
 // responsible for. It is safe for concurrent use.
 type dispatcher struct {
-	self   model.HostID
-	region model.Region
-
-	mu      sync.Mutex
-	view    *localstate.View
-	servers map[model.ServerID]*boundServer
-}
+	self        model.HostID
+	region      model.Region
+	incarnation model.Incarnation
 
-type boundServer struct {
-	spec document.Server
-	conn *backend.Server
-	busy int
+	mu         sync.Mutex
+	view       *localstate.View
+	schedulers map[model.Service]*scheduler
 }
 
-func newDispatcher(self model.HostID, region model.Region) *dispatcher {
-	return &dispatcher{self: self, region: region, servers: make(map[model.ServerID]*boundServer)}
+func newDispatcher(self model.HostID, region model.Region, incarnation model.Incarnation) *dispatcher {
+	return &dispatcher{
+		self:        self,
+		region:      region,
+		incarnation: incarnation,
+		schedulers:  make(map[model.Service]*scheduler),
+	}
 }
 
 // update takes over and hands over backend servers according to the view.
 func (d *dispatcher) update(view *localstate.View) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.view = view
 	if view.Document == nil {
 		return
 	}
-	mine := make(map[model.ServerID]bool)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	previous := d.view
+	d.view = view
+	known := make(map[model.Service]bool)
 	for _, service := range view.Document.Services {
-		for server, host := range assignment(view, service.Name, d.region) {
-			mine[server] = host == d.self
+		known[service.Name] = true
+		s := d.schedulers[service.Name]
+		if s == nil {
+			s = newScheduler(service, d.region, d.incarnation, view.Document)
+			d.schedulers[service.Name] = s
 		}
+		s.update(time.Now(), d.serverChanges(view, previous, service), service, view.Document)
 	}
-	for name, server := range d.servers {
-		if !mine[name] {
-			server.conn.Close()
-			delete(d.servers, name)
+	for name, s := range d.schedulers {
+		if !known[name] {
+			s.update(time.Now(), nil, document.Service{Name: name}, view.Document)
 		}
 	}
+}
+
+// boundServer is a backend server that this host dispatches to.
+type boundServer struct {
+	spec    document.Server
+	origin  slots.Origin
+	leaving bool
+}
+
+// serverChanges returns the servers of the service that are assigned to this
+// host.
+func (d *dispatcher) serverChanges(view, previous *localstate.View, service document.Service) map[model.ServerID]boundServer {
+	mine := make(map[model.ServerID]boundServer)
+	assigned := assignment(view, service.Name, d.region)
 	for _, spec := range view.Document.Servers {
-		if mine[spec.Name] && d.servers[spec.Name] == nil {
-			d.servers[spec.Name] = &boundServer{spec: spec, conn: backend.NewServer(spec)}
+		if assigned[spec.Name] != d.self {
+			continue
+		}
+		mine[spec.Name] = boundServer{
+			spec:    spec,
+			origin:  originOf(previous, spec.Name),
+			leaving: spec.Drain || view.Leaving[spec.Name],
 		}
 	}
+	return mine
 }
 
-func (d *dispatcher) dispatch(ctx context.Context, req Request) Answer {
-	d.mu.Lock()
-	var chosen *boundServer
-	for _, s := range d.servers {
-		if s.spec.Service == req.Service && s.busy < s.spec.Slots && (chosen == nil || s.busy < chosen.busy) {
-			chosen = s
+// originOf returns whether another dispatcher may still use the server. Only a
+// server that the previous document did not have is certainly unused.
+func originOf(previous *localstate.View, name model.ServerID) slots.Origin {
+	if previous == nil {
+		return slots.Takeover
+	}
+	for _, s := range previous.Document.Servers {
+		if s.Name == name {
+			return slots.Takeover
 		}
 	}
-	if chosen == nil {
-		d.mu.Unlock()
-		return refusal(req, result.NoServer, "no free slot")
+	return slots.Unshared
+}
+
+// scheduler returns the scheduler of a service.
+func (d *dispatcher) scheduler(service model.Service) *scheduler {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.schedulers[service]
+}
+
+// tick drives what depends on time alone: warming servers, expired grants and
+// expired requests.
+func (d *dispatcher) tick(now time.Time) {
+	d.mu.Lock()
+	all := make([]*scheduler, 0, len(d.schedulers))
+	for _, s := range d.schedulers {
+		all = append(all, s)
 	}
-	chosen.busy++
-	service, _ := d.view.Document.Service(req.Service)
 	d.mu.Unlock()
-	defer func() {
-		d.mu.Lock()
-		chosen.busy--
-		d.mu.Unlock()
-	}()
-	got := chosen.conn.Do(ctx, backend.Request{
-		ID:          req.ID,
-		Path:        req.Path,
-		Rank:        string(req.Rank),
-		ContentType: req.ContentType,
-		Idempotent:  req.Idempotent,
-		Deadline:    req.Deadline,
-		Body:        req.Body,
-	}, service.AnswerTimeout)
-	return Answer{
-		RequestID:     req.ID,
-		Code:          got.Code,
-		Detail:        got.Detail,
-		Body:          got.Body,
-		ContentType:   got.ContentType,
-		BackendStatus: got.Status,
-		Hops:          []string{string(chosen.spec.Name)},
+	for _, s := range all {
+		s.tick(now)
 	}
 }
+
+// connections holds the open connections to the servers of one service.
+type connections map[model.ServerID]*backend.Server
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -33,16 +33,7 @@
 			return d.forwardToOwner(ctx, req, token, view)
 		}
 	}
-	answer := refusal(req, result.NoServer, "no dispatcher for "+string(req.Service))
-	for _, region := range regionOrder(view, d.settings.Host.Region) {
-		for _, host := range dispatchers(view, req.Service, region) {
-			answer = d.passOn(ctx, req, host, wirepb.Stage_STAGE_DISPATCH)
-			if answer.Code.Class() != result.ClassNotRun {
-				return answer
-			}
-		}
-	}
-	return answer
+	return d.route(ctx, req, view)
 }
 
 func (d *Daemon) forwardToOwner(ctx context.Context, req Request, token model.OwnerToken, view *localstate.View) Answer {
@@ -56,7 +47,7 @@
 // passOn hands the request to one host, which may be this one.
 func (d *Daemon) passOn(ctx context.Context, req Request, host model.HostRecord, stage wirepb.Stage) Answer {
 	if host.Host == d.settings.Host.ID && stage == wirepb.Stage_STAGE_DISPATCH {
-		answer := d.dispatcher.dispatch(ctx, req)
+		answer := d.dispatcher.dispatch(ctx, req, d.settings.Host.ID)
 		answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
 		return answer
 	}
@@ -89,24 +80,25 @@
 	}
 }
 
-// regionOrder returns the own region, then the others in document order.
-func regionOrder(view *localstate.View, own model.Region) []model.Region {
-	order := []model.Region{own}
-	for _, r := range view.Document.Regions {
-		if r.Name != own {
-			order = append(order, r.Name)
-		}
+// Handle implements wire.Handler.
+func (d *Daemon) Handle(ctx context.Context, peer *wirepb.Hello, env *wirepb.Envelope, stream *wire.Stream) {
+	holder := model.HostID(peer.Host)
+	var reply *wirepb.Envelope
+	switch body := env.Body.(type) {
+	case *wirepb.Envelope_ForwardRequest:
+		reply = d.handleForward(ctx, holder, body.ForwardRequest)
+	case *wirepb.Envelope_GrantRequest:
+		reply = d.dispatcher.issueGrant(holder, body.GrantRequest)
+	case *wirepb.Envelope_GrantReturn:
+		reply = d.dispatcher.takeBackGrant(holder, body.GrantReturn)
+	default:
+		reply = wire.FailureEnvelope(result.UnknownMessage, "entry hosts do not take this message")
 	}
-	return order
+	_ = stream.Send(reply)
 }
 
-// Handle implements wire.Handler.
-func (d *Daemon) Handle(ctx context.Context, _ *wirepb.Hello, env *wirepb.Envelope, stream *wire.Stream) {
-	forward := env.GetForwardRequest()
-	if forward == nil {
-		_ = stream.Send(wire.FailureEnvelope(result.UnknownMessage, "entry hosts do not take this message"))
-		return
-	}
+// handleForward serves a request that another entry host passed on.
+func (d *Daemon) handleForward(ctx context.Context, holder model.HostID, forward *wirepb.ForwardRequest) *wirepb.Envelope {
 	d.running.Add(1)
 	defer d.running.Done()
 	req := requestFromWire(forward, time.Now())
@@ -114,10 +106,15 @@
 	if forward.Stage == wirepb.Stage_STAGE_OWNER {
 		answer = d.ownForwarded(ctx, req)
 	} else {
-		answer = d.dispatcher.dispatch(ctx, req)
+		answer = d.dispatcher.dispatch(ctx, req, holder)
 		answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
 	}
-	_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ForwardReply{ForwardReply: answerToWire(answer)}})
+	if req.FromRegion != d.settings.Host.Region {
+		// The request ran, so the reply is sent even when the link's budget
+		// does not allow it before the deadline.
+		d.links.wait(ctx, req.FromRegion, len(answer.Body), req.Deadline)
+	}
+	return &wirepb.Envelope{Body: &wirepb.Envelope_ForwardReply{ForwardReply: answerToWire(answer)}}
 }
 
 // ownForwarded handles a request that another host received. It is never
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/balance"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
@@ -22,8 +23,11 @@
 	Deadline    time.Time
 	Body        []byte
 	ContentType string
-	GrantID     uint64
-	Attempt     uint32
+	// GrantID and GrantIncarnation name the grant of a request that crosses
+	// regions.
+	GrantID          uint64
+	GrantIncarnation model.Incarnation
+	Attempt          uint32
 }
 
 // Answer is the outcome of a request.
@@ -37,6 +41,8 @@
 	BackendStatus int
 	// Hops are the hosts and the backend server that handled the request.
 	Hops []string
+	// Load is the dispatcher's load for the service after the request.
+	Load balance.Load
 }
 
 func refusal(req Request, code result.Code, detail string) Answer {
@@ -45,36 +51,38 @@
 
 func requestFromWire(m *wirepb.ForwardRequest, now time.Time) Request {
 	return Request{
-		ID:          m.RequestId,
-		Service:     model.Service(m.Service),
-		Path:        m.Path,
-		Rank:        model.Rank(m.Rank),
-		HomeRegion:  model.Region(m.HomeRegion),
-		FromRegion:  model.Region(m.FromRegion),
-		Idempotent:  m.Idempotent,
-		Deadline:    now.Add(time.Duration(m.RemainingMillis) * time.Millisecond),
-		Body:        m.Body,
-		ContentType: m.ContentType,
-		GrantID:     m.GrantId,
-		Attempt:     m.Attempt,
+		ID:               m.RequestId,
+		Service:          model.Service(m.Service),
+		Path:             m.Path,
+		Rank:             model.Rank(m.Rank),
+		HomeRegion:       model.Region(m.HomeRegion),
+		FromRegion:       model.Region(m.FromRegion),
+		Idempotent:       m.Idempotent,
+		Deadline:         now.Add(time.Duration(m.RemainingMillis) * time.Millisecond),
+		Body:             m.Body,
+		ContentType:      m.ContentType,
+		GrantID:          m.GrantId,
+		GrantIncarnation: model.Incarnation(m.GrantIncarnation),
+		Attempt:          m.Attempt,
 	}
 }
 
 func requestToWire(req Request, stage wirepb.Stage, now time.Time) *wirepb.ForwardRequest {
 	return &wirepb.ForwardRequest{
-		RequestId:       req.ID,
-		Service:         string(req.Service),
-		Path:            req.Path,
-		Rank:            string(req.Rank),
-		HomeRegion:      string(req.HomeRegion),
-		FromRegion:      string(req.FromRegion),
-		Idempotent:      req.Idempotent,
-		RemainingMillis: req.Deadline.Sub(now).Milliseconds(),
-		Body:            req.Body,
-		ContentType:     req.ContentType,
-		GrantId:         req.GrantID,
-		Attempt:         req.Attempt,
-		Stage:           stage,
+		RequestId:        req.ID,
+		Service:          string(req.Service),
+		Path:             req.Path,
+		Rank:             string(req.Rank),
+		HomeRegion:       string(req.HomeRegion),
+		FromRegion:       string(req.FromRegion),
+		Idempotent:       req.Idempotent,
+		RemainingMillis:  req.Deadline.Sub(now).Milliseconds(),
+		Body:             req.Body,
+		ContentType:      req.ContentType,
+		GrantId:          req.GrantID,
+		GrantIncarnation: uint64(req.GrantIncarnation),
+		Attempt:          req.Attempt,
+		Stage:            stage,
 	}
 }
 
@@ -88,6 +96,11 @@
 		ContentType:   a.ContentType,
 		BackendStatus: uint32(a.BackendStatus),
 		Hops:          a.Hops,
+		Load: &wirepb.ServiceLoad{
+			Slots:  uint32(a.Load.Slots),
+			Busy:   uint32(a.Load.Busy),
+			Queued: uint32(a.Load.Queued),
+		},
 	}
 }
 
@@ -104,5 +117,10 @@
 		ContentType:   m.ContentType,
 		BackendStatus: int(m.BackendStatus),
 		Hops:          m.Hops,
+		Load: balance.Load{
+			Slots:  int(m.Load.GetSlots()),
+			Busy:   int(m.Load.GetBusy()),
+			Queued: int(m.Load.GetQueued()),
+		},
 	}
 }
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/backend"
+	"github.com/wisteriacrank/wisteriacrank/pkg/admission"
+	"github.com/wisteriacrank/wisteriacrank/pkg/grant"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// dispatch runs the request on one of this host's backend servers. holder is
+// the owner host, to which a grant must belong.
+func (d *dispatcher) dispatch(ctx context.Context, req Request, holder model.HostID) Answer {
+	s := d.scheduler(req.Service)
+	if s == nil {
+		return refusal(req, result.NotDispatcher, "no server of "+string(req.Service)+" on this host")
+	}
+	if req.HomeRegion != d.region {
+		if code := s.startMove(time.Now()); code != result.Served {
+			return refusal(req, code, "traffic moved to "+string(d.region))
+		}
+		defer func() { s.finishMove(time.Now()) }()
+	}
+	answer := s.serve(ctx, req, holder)
+	answer.Load = s.load()
+	return answer
+}
+
+// serve gets the request a slot and runs it, again after a preemption.
+func (s *scheduler) serve(ctx context.Context, req Request, holder model.HostID) Answer {
+	item := admission.Item{Rank: req.Rank, Deadline: req.Deadline}
+	var waiter *pending
+	var r *run
+	var code result.Code
+	if req.FromRegion == s.region {
+		waiter, code = s.enqueue(time.Now(), item)
+	} else {
+		id := grant.ID{Incarnation: req.GrantIncarnation, Sequence: req.GrantID}
+		r, code = s.startGranted(time.Now(), item, id, holder)
+	}
+	if code != result.Served {
+		return refusal(req, code, "")
+	}
+	for {
+		if waiter != nil {
+			r, code = s.await(ctx, waiter)
+			if r == nil {
+				return refusal(req, code, "")
+			}
+		}
+		answer, again := s.execute(ctx, req, r)
+		if again == nil {
+			return answer
+		}
+		waiter = again
+	}
+}
+
+// await waits for a slot. It returns no run, and the reason, if the request
+// left the queue instead.
+func (s *scheduler) await(ctx context.Context, waiter *pending) (*run, result.Code) {
+	deadline := time.NewTimer(time.Until(waiter.item.Deadline))
+	defer deadline.Stop()
+	select {
+	case r := <-waiter.started:
+		return r, result.Served
+	case code := <-waiter.gone:
+		return nil, code
+	case <-ctx.Done():
+	case <-deadline.C:
+	}
+	if r := s.leave(time.Now(), waiter); r != nil {
+		return r, result.Served
+	}
+	return nil, result.DeadlineBefore
+}
+
+// execute runs the request on its server. A preempted run returns a new
+// pending instead of an answer.
+func (s *scheduler) execute(ctx context.Context, req Request, r *run) (Answer, *pending) {
+	runCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if req.Idempotent {
+		s.allowPreemption(r, cancel)
+	}
+	got := r.conn.Do(runCtx, backend.Request{
+		ID:          req.ID,
+		Path:        req.Path,
+		Rank:        string(req.Rank),
+		ContentType: req.ContentType,
+		Idempotent:  req.Idempotent,
+		Deadline:    req.Deadline,
+		Body:        req.Body,
+	}, s.answerTimeout())
+	again := s.finish(time.Now(), r, got.Code)
+	if got.Draining {
+		s.noteDraining(time.Now(), r.server)
+	}
+	return Answer{
+		RequestID:     req.ID,
+		Code:          got.Code,
+		Detail:        got.Detail,
+		Body:          got.Body,
+		ContentType:   got.ContentType,
+		BackendStatus: got.Status,
+		Hops:          []string{string(r.server)},
+	}, again
+}
+
+func (s *scheduler) answerTimeout() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service.AnswerTimeout
+}
+
+// noteDraining stops new work for a server that announced that it leaves.
+func (s *scheduler) noteDraining(now time.Time, name model.ServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.specs[name]; ok {
+		s.setLeaving(now, name, true)
+	}
+}
--- /dev/null
+++ b/internal/entry/scheduler.go
@@ -0,0 +1,358 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/backend"
+	"github.com/wisteriacrank/wisteriacrank/pkg/admission"
+	"github.com/wisteriacrank/wisteriacrank/pkg/balance"
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+	"github.com/wisteriacrank/wisteriacrank/pkg/grant"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/movecap"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+	"github.com/wisteriacrank/wisteriacrank/pkg/slots"
+)
+
+// errPreempted cancels a run in favour of more urgent work.
+var errPreempted = errors.New("preempted by more urgent work")
+
+// scheduler runs the requests of one service on the servers of this host. It
+// serializes access to the decision packages and is safe for concurrent use.
+type scheduler struct {
+	region model.Region
+
+	mu       sync.Mutex
+	service  document.Service
+	queue    *admission.Queue
+	table    *slots.Table
+	ledger   *grant.Ledger
+	moves    *movecap.Limiter
+	conns    connections
+	specs    map[model.ServerID]document.Server
+	lastID   admission.ItemID
+	waiting  map[admission.ItemID]*pending
+	running  map[admission.ItemID]*run
+	stopping int // preempted runs that have not ended yet
+}
+
+// pending is a request that waits for a slot. Its owner goroutine waits for
+// started or gone; the scheduler closes one of them.
+type pending struct {
+	item    admission.Item
+	started chan *run
+	gone    chan result.Code
+}
+
+// run is a request that holds a slot.
+type run struct {
+	item    admission.Item
+	server  model.ServerID
+	conn    *backend.Server
+	since   time.Time
+	local   bool
+	grantID grant.ID
+	// cancel is set while the run may be preempted.
+	cancel    context.CancelCauseFunc
+	preempted bool
+}
+
+func newScheduler(service document.Service, region model.Region, incarnation model.Incarnation, doc *document.Document) *scheduler {
+	now := time.Now()
+	return &scheduler{
+		region:  region,
+		service: service,
+		queue:   admission.New(now, doc.Ranks, 0),
+		table:   slots.New(),
+		ledger:  grant.NewLedger(incarnation),
+		moves:   movecap.New(now, doc.Environment.MoveCap, doc.Environment.MoveInterval),
+		conns:   make(connections),
+		specs:   make(map[model.ServerID]document.Server),
+		waiting: make(map[admission.ItemID]*pending),
+		running: make(map[admission.ItemID]*run),
+	}
+}
+
+// update puts the servers and ranks of a new view in force.
+func (s *scheduler) update(now time.Time, servers map[model.ServerID]boundServer, service document.Service, doc *document.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service = service
+	for name := range s.specs {
+		if _, ok := servers[name]; !ok {
+			s.handOver(now, name)
+		}
+	}
+	for name, bound := range servers {
+		s.takeOver(now, name, bound)
+	}
+	for _, orphan := range s.queue.SetRanks(now, doc.Ranks) {
+		s.refuse(orphan.ID, result.UnknownRank)
+	}
+	s.moves.Configure(now, doc.Environment.MoveCap, doc.Environment.MoveInterval)
+	s.pump(now)
+}
+
+func (s *scheduler) handOver(now time.Time, name model.ServerID) {
+	s.table.Remove(name)
+	s.ledger.RemoveServer(now, name)
+	s.conns[name].Close()
+	delete(s.conns, name)
+	delete(s.specs, name)
+}
+
+func (s *scheduler) takeOver(now time.Time, name model.ServerID, bound boundServer) {
+	if s.specs[name] != bound.spec {
+		s.table.Put(now, bound.spec, bound.origin)
+		if old := s.conns[name]; old == nil || s.specs[name].Address != bound.spec.Address {
+			if old != nil {
+				old.Close()
+			}
+			s.conns[name] = backend.NewServer(bound.spec)
+		}
+		s.specs[name] = bound.spec
+	}
+	s.setLeaving(now, name, bound.leaving)
+}
+
+// setLeaving stops or resumes new work for a server.
+func (s *scheduler) setLeaving(now time.Time, name model.ServerID, leaving bool) {
+	s.table.SetLeaving(name, leaving)
+	if leaving {
+		s.ledger.RemoveServer(now, name)
+	} else {
+		s.ledger.SetServer(now, name, s.specs[name].Slots)
+	}
+}
+
+// tick drives what depends on time alone.
+func (s *scheduler) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, item := range s.queue.Expire(now) {
+		s.refuse(item.ID, result.DeadlineBefore)
+	}
+	s.pump(now)
+}
+
+// load is reported with every answer.
+func (s *scheduler) load() balance.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return balance.Load{
+		Slots:  s.table.Capacity(time.Now()),
+		Busy:   s.table.Busy(),
+		Queued: s.queue.Len(),
+	}
+}
+
+// pump starts waiting work while there is room. The caller holds the mutex.
+func (s *scheduler) pump(now time.Time) {
+	capacity := s.table.Capacity(now)
+	s.queue.SetSlots(now, capacity)
+	s.moves.SetSlots(now, capacity, s.table.Cold(now))
+	for s.startNext(now) {
+	}
+	if s.queue.AloneWaiting() {
+		s.table.HoldForAlone(now)
+	}
+	if s.queue.Len() > 0 {
+		s.preempt(now)
+	}
+}
+
+func (s *scheduler) startNext(now time.Time) bool {
+	if s.ledger.LocalRoom(now) == 0 {
+		return false
+	}
+	room := admission.Room{Shared: s.table.Free(now) > 0, Alone: s.table.Idle(now)}
+	item, ok := s.queue.Next(now, room)
+	if !ok {
+		return false
+	}
+	waiter := s.waiting[item.ID]
+	if waiter == nil {
+		return true
+	}
+	r, ok := s.acquire(now, item)
+	if !ok {
+		s.queue.Requeue(now, item)
+		return false
+	}
+	r.local = s.ledger.StartLocal(now)
+	delete(s.waiting, item.ID)
+	waiter.started <- r
+	return true
+}
+
+// acquire takes a slot for the item.
+func (s *scheduler) acquire(now time.Time, item admission.Item) (*run, bool) {
+	server, ok := s.table.Acquire(now, item.Alone)
+	if !ok {
+		return nil, false
+	}
+	r := &run{item: item, server: server, conn: s.conns[server], since: now}
+	s.running[item.ID] = r
+	return r, true
+}
+
+func (s *scheduler) refuse(id admission.ItemID, code result.Code) {
+	if waiter := s.waiting[id]; waiter != nil {
+		delete(s.waiting, id)
+		waiter.gone <- code
+	}
+}
+
+// preempt cancels a long run of less urgent work if the queue asks for it.
+func (s *scheduler) preempt(now time.Time) {
+	runs := make([]admission.Run, 0, len(s.running))
+	for id, r := range s.running {
+		if r.cancel != nil {
+			runs = append(runs, admission.Run{ID: id, Rank: r.item.Rank, Started: r.since})
+		}
+	}
+	id, ok := s.queue.Preempt(now, runs, s.stopping)
+	if !ok {
+		return
+	}
+	s.stopping++
+	r := s.running[id]
+	r.preempted = true
+	r.cancel(errPreempted)
+	r.cancel = nil
+}
+
+// finish ends a run. A preempted run that did not complete waits again; the
+// returned pending is then not nil.
+func (s *scheduler) finish(now time.Time, r *run, code result.Code) *pending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, r.item.ID)
+	s.table.Release(now, r.server, outcomeOf(code))
+	if r.local {
+		s.ledger.FinishLocal()
+	} else if r.grantID != (grant.ID{}) {
+		s.ledger.Finish(now, r.grantID)
+	}
+	held := now.Sub(r.since)
+	var again *pending
+	if r.preempted {
+		s.stopping--
+		s.queue.Preempted(now, r.item.Rank, held)
+		if code.Class() != result.ClassServed && s.queue.Requeue(now, r.item) {
+			again = newPending(r.item)
+			s.waiting[r.item.ID] = again
+		}
+	} else {
+		s.queue.Done(now, r.item.Rank, held)
+	}
+	s.pump(now)
+	return again
+}
+
+func outcomeOf(code result.Code) slots.Outcome {
+	if code == result.ServerShed {
+		return slots.Shed
+	}
+	return slots.Completed
+}
+
+func newPending(item admission.Item) *pending {
+	return &pending{item: item, started: make(chan *run, 1), gone: make(chan result.Code, 1)}
+}
+
+// enqueue offers a local request to the queue.
+func (s *scheduler) enqueue(now time.Time, item admission.Item) (*pending, result.Code) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.specs) == 0 {
+		return nil, result.NotDispatcher
+	}
+	s.lastID++
+	item.ID = s.lastID
+	if code := s.queue.Offer(now, item); code != result.Served {
+		return nil, code
+	}
+	waiter := newPending(item)
+	s.waiting[item.ID] = waiter
+	s.pump(now)
+	return waiter, result.Served
+}
+
+// leave takes a waiting request out of the queue. It returns the run if the
+// request got its slot at the same moment.
+func (s *scheduler) leave(now time.Time, waiter *pending) *run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Remove(waiter.item.ID)
+	delete(s.waiting, waiter.item.ID)
+	s.pump(now)
+	select {
+	case r := <-waiter.started:
+		return r
+	default:
+		return nil
+	}
+}
+
+// startGranted takes a slot for a request of another region. Its grant stands
+// for a free slot, so it does not wait.
+func (s *scheduler) startGranted(now time.Time, item admission.Item, id grant.ID, holder model.HostID) (*run, result.Code) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if code := s.ledger.Start(now, id, holder); code != result.Served {
+		return nil, code
+	}
+	s.lastID++
+	item.ID = s.lastID
+	r, ok := s.acquire(now, item)
+	if !ok {
+		s.ledger.Finish(now, id)
+		return nil, result.NoCapacity
+	}
+	r.grantID = id
+	s.queue.Started(now, item.Rank)
+	return r, result.Served
+}
+
+// startMove counts a request whose home region is another one.
+func (s *scheduler) startMove(now time.Time) result.Code {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.moves.Start(now)
+}
+
+func (s *scheduler) finishMove(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moves.Finish(now)
+}
+
+// issue grants spare slots to an entry host of another region. Slots that
+// waiting local work needs are not spare.
+func (s *scheduler) issue(now time.Time, holder model.HostID, want int) (grant.Grant, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	spare := min(s.table.Free(now), s.ledger.LocalRoom(now)) - s.queue.Len()
+	if spare <= 0 {
+		return grant.Grant{}, false
+	}
+	return s.ledger.Issue(now, holder, want, spare)
+}
+
+func (s *scheduler) takeBack(now time.Time, id grant.ID, holder model.HostID, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Return(now, id, holder, count)
+	s.pump(now)
+}
+
+// allowPreemption lets the queue cancel the run.
+func (s *scheduler) allowPreemption(r *run, cancel context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.cancel = cancel
+}
--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -23,6 +23,11 @@
 // host refuses requests.
 const stopGrace = 2 * time.Second
 
+const (
+	tickInterval   = 100 * time.Millisecond
+	returnInterval = time.Second
+)
+
 // Daemon is the entry daemon.
 type Daemon struct {
 	settings    *settings.Settings
@@ -30,6 +35,9 @@
 	peers       *wire.Client
 	watcher     *localstate.Watcher
 	dispatcher  *dispatcher
+	remote      *remote
+	links       *links
+	balancer    *balancer
 	state       atomic.Int32 // model.HostState
 	running     sync.WaitGroup
 }
@@ -47,8 +55,11 @@
 		settings:    s,
 		incarnation: incarnation,
 		peers:       wire.NewClient(identity, s.Limits.MaxFrameBytes),
-		dispatcher:  newDispatcher(s.Host.ID, s.Host.Region),
+		dispatcher:  newDispatcher(s.Host.ID, s.Host.Region, incarnation),
+		links:       newLinks(s.Host.Region, s.Limits.MaxBodyBytes),
+		balancer:    newBalancer(int64(incarnation)),
 	}
+	d.remote = newRemote(s.Host.Region, d.peers, int64(incarnation))
 	d.state.Store(int32(model.HostStarting))
 	d.watcher = localstate.NewWatcher(d.peers, s.Listen.Agent)
 	d.watcher.OnChange = d.onView
@@ -58,6 +69,7 @@
 // onView puts a new view in force.
 func (d *Daemon) onView(view *localstate.View) {
 	d.dispatcher.update(view)
+	d.links.update(view)
 	if view.Document != nil {
 		d.state.CompareAndSwap(int32(model.HostStarting), int32(model.HostReady))
 	}
@@ -113,6 +125,8 @@
 		return nil
 	})
 	group.Go(func() error { d.watcher.Run(serveCtx); return nil })
+	group.Go(func() error { d.tick(serveCtx); return nil })
+	group.Go(func() error { d.returnGrants(serveCtx); return nil })
 	group.Go(func() error { d.watcher.Report(serveCtx, d.report); return nil })
 	group.Go(func() error {
 		select {
@@ -127,6 +141,34 @@
 	return group.Wait()
 }
 
+// tick drives the dispatcher's timers.
+func (d *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.dispatcher.tick(now)
+		}
+	}
+}
+
+// returnGrants gives unused grants back to their dispatchers.
+func (d *Daemon) returnGrants(ctx context.Context) {
+	ticker := time.NewTicker(returnInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.remote.returnUnused(ctx)
+		}
+	}
+}
+
 func (d *Daemon) shutdown(server *http.Server) {
 	d.state.Store(int32(model.HostStopping))
 	d.watcher.ReportNow(context.Background(), d.report())
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -136,6 +136,7 @@
 			&cli.BoolFlag{Name: "idempotent"},
 			&cli.DurationFlag{Name: "deadline", Value: 2 * time.Second},
 			&cli.StringFlag{Name: "body", Value: "hello"},
+			&cli.IntFlag{Name: "hosts", Value: 1, Usage: "entry hosts that the look-up must name"},
 			&cli.DurationFlag{Name: "wait", Value: 15 * time.Second, Usage: "how long to try the look-up"},
 		},
 		Action: runCall,
@@ -153,7 +154,7 @@
 		Deadline:   cmd.Duration("deadline"),
 		Body:       cmd.String("body"),
 	}
-	answer, err := waitLookup(ctx, caller, call, cmd.Duration("wait"))
+	answer, err := waitLookup(ctx, caller, call, cmd.Int("hosts"), cmd.Duration("wait"))
 	if err != nil {
 		return err
 	}
@@ -169,18 +170,18 @@
 	return nil
 }
 
-func waitLookup(ctx context.Context, caller *Caller, call Call, wait time.Duration) (LookupAnswer, error) {
+func waitLookup(ctx context.Context, caller *Caller, call Call, hosts int, wait time.Duration) (LookupAnswer, error) {
 	const interval = 200 * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		answer, err := caller.Lookup(ctx, call.Service, call.Block)
-		if err == nil {
+		if err == nil && len(answer.Hosts) >= hosts {
 			return answer, nil
 		}
 		select {
 		case <-ctx.Done():
-			return LookupAnswer{}, err
+			return LookupAnswer{}, fmt.Errorf("waited for %d entry hosts, got %d: %w", hosts, len(answer.Hosts), ctx.Err())
 		case <-time.After(interval):
 		}
 	}
--- /dev/null
+++ b/pkg/balance/balance.go
@@ -0,0 +1,97 @@
+// Package balance chooses the dispatcher of a request among those that can
+// take it. It combines the load that a dispatcher last reported with the
+// owner's own requests since then.
+//
+// A Picker is not safe for concurrent use.
+package balance
+
+import (
+	"math/rand"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+// Load is the load that a dispatcher reports with an answer.
+type Load struct {
+	Slots, Busy, Queued int
+}
+
+// Picker keeps what an owner knows of the dispatchers of one service.
+type Picker struct {
+	rng         *rand.Rand
+	dispatchers map[model.HostID]*dispatcher
+}
+
+type dispatcher struct {
+	load Load
+	// pending are the owner's own requests without an answer.
+	pending int
+	// unreported are those that were sent after the latest report.
+	unreported int
+}
+
+// New returns a picker without knowledge.
+func New(rng *rand.Rand) *Picker {
+	return &Picker{rng: rng, dispatchers: make(map[model.HostID]*dispatcher)}
+}
+
+// choices is the number of candidates that are compared. Comparing all makes
+// every owner choose the same dispatcher at the same time.
+const choices = 2
+
+// Pick returns the less loaded of two random candidates. candidates is not
+// empty.
+func (p *Picker) Pick(candidates []model.HostID) model.HostID {
+	best := candidates[p.rng.Intn(len(candidates))]
+	for range choices - 1 {
+		other := candidates[p.rng.Intn(len(candidates))]
+		if p.score(other) < p.score(best) {
+			best = other
+		}
+	}
+	return best
+}
+
+// score is the expected wait in units of a run time.
+func (p *Picker) score(id model.HostID) float64 {
+	d, ok := p.dispatchers[id]
+	if !ok {
+		return 0
+	}
+	slots := max(1, d.load.Slots)
+	return float64(max(d.load.Busy+d.load.Queued+d.unreported, d.pending)) / float64(slots)
+}
+
+// Sent counts a request that goes to the dispatcher.
+func (p *Picker) Sent(id model.HostID) {
+	d := p.dispatchers[id]
+	if d == nil {
+		d = &dispatcher{}
+		p.dispatchers[id] = d
+	}
+	d.pending++
+	d.unreported++
+}
+
+// Answered counts an answer. A nil load means that none was reported.
+func (p *Picker) Answered(id model.HostID, load *Load) {
+	d := p.dispatchers[id]
+	if d == nil {
+		return
+	}
+	d.pending = max(0, d.pending-1)
+	d.unreported = min(d.unreported, d.pending)
+	if load != nil {
+		d.load = *load
+		d.unreported = 0
+	}
+}
+
+// Keep forgets dispatchers that are not in the set.
+func (p *Picker) Keep(current map[model.HostID]bool) {
+	for id := range p.dispatchers {
+		if !current[id] {
+			delete(p.dispatchers, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/balance/balance_test.go
@@ -0,0 +1,49 @@
+package balance
+
+import (
+	"math/rand"
+	"testing"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+// Guards against an owner that sends a burst to one dispatcher because its
+// report is older than the burst.
+func TestBurstIsSpreadWithoutNewReports(t *testing.T) {
+	p := New(rand.New(rand.NewSource(1)))
+	candidates := []model.HostID{"a", "b", "c"}
+	for _, id := range candidates {
+		p.Sent(id)
+		p.Answered(id, &Load{Slots: 9})
+	}
+	sent := make(map[model.HostID]int)
+	for range 90 {
+		id := p.Pick(candidates)
+		sent[id]++
+		p.Sent(id)
+	}
+	for _, id := range candidates {
+		if sent[id] < 25 || sent[id] > 35 {
+			t.Errorf("%d of 90 requests to %s", sent[id], id)
+		}
+	}
+}
+
+// Guards against an owner that ignores what dispatchers report.
+func TestLoadedDispatcherGetsLess(t *testing.T) {
+	p := New(rand.New(rand.NewSource(1)))
+	p.Sent("full")
+	p.Answered("full", &Load{Slots: 9, Busy: 9, Queued: 40})
+	p.Sent("idle")
+	p.Answered("idle", &Load{Slots: 9})
+	full := 0
+	for range 100 {
+		if p.Pick([]model.HostID{"full", "idle"}) == "full" {
+			full++
+		}
+	}
+	// Two random choices name the same dispatcher twice in a quarter of cases.
+	if full > 40 {
+		t.Errorf("%d of 100 requests to the full dispatcher", full)
+	}
+}
--- a/pkg/grant/wallet.go
+++ b/pkg/grant/wallet.go
@@ -37,6 +37,7 @@
 // Surplus is an unused part of a grant to return to its dispatcher.
 type Surplus struct {
 	Dispatcher model.HostID
+	Service    model.Service
 	ID         ID
 	Count      int
 }
@@ -113,7 +114,7 @@
 		}
 		if spare := h.count - h.peak; spare > 0 {
 			h.count -= spare
-			surplus = append(surplus, Surplus{Dispatcher: h.dispatcher, ID: h.id, Count: spare})
+			surplus = append(surplus, Surplus{Dispatcher: h.dispatcher, Service: h.service, ID: h.id, Count: spare})
 		}
 		h.peak, h.peakSince = h.used, now
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -73,7 +73,7 @@
 done
 [ -n "${applied:-}" ] || { cat "$dir/apply.log" >&2; exit 1; }
 
-call() { $bin/wisteria-standin call --lookup 127.0.0.1:7712 --block 10.1.7.0/24 "$@"; }
+call() { $bin/wisteria-standin call --lookup 127.0.0.1:7712 --block 10.1.7.0/24 --hosts 4 "$@"; }
 call --service booking-desk --rank check --unique demo-1 --idempotent
 call --service booking-desk --rank booking --unique demo-2
 call --service inspection-log --rank upload --unique demo-3 --idempotent --deadline 30s --body "photo"
