Add the look-up table of client blocks

Cause: the look-up daemon walked all hosts for each query, had no region order from measurements, no cap on moves between regions, and named hosts in the order of the agent's list, so every caller of a region got the same first host.

Ruled out: one answer per block as finished bytes (160,000 answers of 1.5 KB, and the owner token needs the issue time of each answer): an answer is put together from one piece of text per host, and only the digits of the time are inserted. A blend of measured and document order by rank during the decay: all similar blocks would change at the same moment, so each block returns at its own time by hash. A move fraction computed from a frozen count of blocks: two causes at once would each use the whole cap, so each region has one quota per interval.

Change: package steering with the block index, the filtered region order, the move limit, the host lists and the answer text. Host records, blocks and regions that did not change are shared between tables.

Conclusion: the table holds its rules under test; the daemon takes it over next.

--- /dev/null
+++ b/pkg/steering/steering_test.go
@@ -0,0 +1,347 @@
+package steering
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// fixture is a document of regions lis, opo and fnc with blocks /24 that all
+// belong to lis, and hosts in two failure domains per region.
+type fixture struct {
+	builder *Builder
+	in      Input
+	now     time.Time
+}
+
+func newFixture(blocks, hostsPerRegion int) *fixture {
+	doc := &document.Document{Environment: document.Environment{
+		CacheTime: 10 * time.Second, MoveCap: 0.1, MoveInterval: 10 * time.Second,
+	}}
+	f := &fixture{builder: NewBuilder(), now: start, in: Input{Generation: 7, Document: doc}}
+	for _, name := range []model.Region{"lis", "opo", "fnc"} {
+		doc.Regions = append(doc.Regions, document.Region{Name: name, Weight: 1})
+		doc.Servers = append(doc.Servers, document.Server{Region: name, Slots: 100})
+		for i := range hostsPerRegion {
+			id := fmt.Sprintf("%s-%d", name, i)
+			f.in.Hosts = append(f.in.Hosts, model.HostRecord{
+				Host: model.HostID(id), Region: name, CallerAddress: id + ":80", State: model.HostReady, EntryIncarnation: 5,
+				FailureDomain: model.FailureDomain(fmt.Sprintf("%s-%c", name, 'a'+i%2)),
+			})
+		}
+	}
+	doc.Services = []document.Service{{Name: "passdesk"}}
+	for i := range blocks {
+		doc.Blocks = append(doc.Blocks, document.Block{Prefix: blockAt(i), Region: "lis"})
+	}
+	return f
+}
+
+func blockAt(i int) netip.Prefix {
+	return netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), 0}), 24)
+}
+
+func (f *fixture) build() *Table { return f.builder.Build(f.in, f.now) }
+
+func (f *fixture) after(d time.Duration) *Table {
+	f.now = f.now.Add(d)
+	return f.build()
+}
+
+// setState changes the state of the hosts that match.
+func (f *fixture) setState(state model.HostState, match func(model.HostRecord) bool) {
+	hosts := append([]model.HostRecord(nil), f.in.Hosts...)
+	for i := range hosts {
+		if match(hosts[i]) {
+			hosts[i].State = state
+		}
+	}
+	f.in.Hosts = hosts
+}
+
+func (f *fixture) measure(block netip.Prefix, millis ...int) {
+	f.in.Measurements = nil
+	for i, ms := range millis {
+		f.in.Measurements = append(f.in.Measurements, Measurement{
+			Block: block, Region: f.in.Document.Regions[i].Name, Latency: time.Duration(ms) * time.Millisecond, MeasuredAt: f.now,
+		})
+	}
+}
+
+func inRegion(name model.Region) func(model.HostRecord) bool {
+	return func(h model.HostRecord) bool { return h.Region == name }
+}
+
+func firstRegion(t *Table, block netip.Prefix) model.Region {
+	a := t.Lookup(block)
+	return a.Host(0).Region
+}
+
+func homes(t *Table, blocks int) map[model.Region]int {
+	count := make(map[model.Region]int)
+	for i := range blocks {
+		a := t.Lookup(blockAt(i))
+		count[a.HomeRegion()]++
+	}
+	return count
+}
+
+// Guards against an answer from a shorter block, or from a block next to the
+// queried one: compares with a linear search over nested blocks.
+func TestLookupFindsLongestPrefix(t *testing.T) {
+	rng := rand.New(rand.NewSource(1))
+	var prefixes []netip.Prefix
+	for range 2000 {
+		if p := randomPrefix(rng); p.Addr().As16()[0] != 0xfe {
+			prefixes = append(prefixes, p)
+		}
+	}
+	index := newBlockIndex(prefixes)
+	found := 0
+	for range 20000 {
+		query := randomPrefix(rng)
+		want := netip.Prefix{}
+		for _, p := range prefixes {
+			if p.Bits() <= query.Bits() && p.Contains(query.Addr()) && (!want.IsValid() || p.Bits() > want.Bits()) {
+				want = p
+			}
+		}
+		got := netip.Prefix{}
+		if i := index.find(query); i != noBlock {
+			got = index.prefixes[i]
+			found++
+		}
+		if got != want {
+			t.Fatalf("query %s found %s, want %s", query, got, want)
+		}
+	}
+	if found == 0 || found == 20000 {
+		t.Errorf("%d of 20000 queries found a block; the test needs both outcomes", found)
+	}
+}
+
+func randomPrefix(rng *rand.Rand) netip.Prefix {
+	if rng.Intn(2) == 0 {
+		var a [16]byte
+		a[0], a[1], a[7], a[8] = 0xfd+byte(rng.Intn(3)), byte(rng.Intn(4)), byte(rng.Intn(256)), byte(rng.Intn(256))
+		return netip.PrefixFrom(netip.AddrFrom16(a), 8+rng.Intn(121)).Masked()
+	}
+	a := [4]byte{byte(255 - 2*rng.Intn(3)), byte(rng.Intn(256)), byte(rng.Intn(256)), byte(rng.Intn(256))}
+	return netip.PrefixFrom(netip.AddrFrom4(a), 8+rng.Intn(25)).Masked()
+}
+
+// Guards against JSON that callers cannot read and against an owner token with
+// a stale issue time.
+func TestAnswerIsValidJSON(t *testing.T) {
+	f := newFixture(10, 4)
+	a := f.build().Lookup(blockAt(3))
+	var got struct {
+		Generation   uint64
+		CacheSeconds int    `json:"cache_seconds"`
+		HomeRegion   string `json:"home_region"`
+		Owner        string
+		Hosts        []hostJSON
+	}
+	text := a.AppendJSON(nil, start.Add(3*time.Second))
+	if err := json.Unmarshal(text, &got); err != nil {
+		t.Fatalf("%v in %s", err, text)
+	}
+	if got.Generation != 7 || got.CacheSeconds != 10 || got.HomeRegion != "lis" || len(got.Hosts) != 8 {
+		t.Errorf("answer %s", text)
+	}
+	first := got.Hosts[0]
+	if want := fmt.Sprintf("%s.5.1800000003", first.Host); first.Owner != want || got.Owner != want {
+		t.Errorf("owner tokens %q and %q, want %q", first.Owner, got.Owner, want)
+	}
+	if first.Address != first.Host+":80" || first.Region != "lis" || first.Incarnation != 5 {
+		t.Errorf("first host %+v", first)
+	}
+}
+
+// Guards against allocations, which the collector would have to follow at
+// millions of look-ups per second.
+func TestLookupDoesNotAllocate(t *testing.T) {
+	f := newFixture(2000, 20)
+	table := f.build()
+	buf := make([]byte, 0, 8<<10)
+	block := blockAt(77)
+	undeclared := netip.MustParsePrefix("192.0.2.0/24")
+	allocs := testing.AllocsPerRun(1000, func() {
+		a := table.Lookup(block)
+		buf = a.AppendJSON(buf[:0], start)
+		b := table.Lookup(undeclared)
+		buf = b.AppendJSON(buf[:0], start)
+		if !table.HasService("passdesk") {
+			t.Fatal("service is missing")
+		}
+	})
+	if allocs != 0 {
+		t.Errorf("%v allocations per look-up", allocs)
+	}
+}
+
+// Guards against hosts that stop, are suspect or dead in an answer, and against
+// an answer without alternatives in a second failure domain.
+func TestOnlyReadyHostsOfTwoFailureDomains(t *testing.T) {
+	for _, state := range []model.HostState{model.HostStarting, model.HostStopping, model.HostSuspect, model.HostDead, model.HostLeft} {
+		f := newFixture(500, 6)
+		f.build()
+		f.setState(state, func(h model.HostRecord) bool { return h.Host == "lis-0" || h.Host == "lis-3" })
+		table := f.after(time.Second)
+		for i := range 500 {
+			a := table.Lookup(blockAt(i))
+			if a.Len() != 8 {
+				t.Fatalf("%d hosts", a.Len())
+			}
+			for place := range a.Len() {
+				if id := a.Host(place).ID; id == "lis-0" || id == "lis-3" {
+					t.Fatalf("%s host %s is named at %d", state, id, place)
+				}
+			}
+			if a.Host(0).FailureDomain == a.Host(1).FailureDomain {
+				t.Fatalf("block %d: hosts %v and %v share a failure domain", i, a.Host(0), a.Host(1))
+			}
+		}
+	}
+}
+
+// Guards against an empty answer when every host is suspected, and against
+// naming hosts that certainly do not serve.
+func TestSuspectHostsOnlyWithoutReadyOnes(t *testing.T) {
+	f := newFixture(50, 4)
+	f.setState(model.HostDead, func(model.HostRecord) bool { return true })
+	f.setState(model.HostSuspect, func(h model.HostRecord) bool { return h.Host == "opo-1" })
+	f.setState(model.HostStopping, func(h model.HostRecord) bool { return h.Host == "opo-2" })
+	a := f.build().Lookup(blockAt(1))
+	if a.Len() != 1 || a.Host(0).ID != "opo-1" {
+		t.Errorf("%d hosts, first %v, want opo-1 only", a.Len(), a.Host(0))
+	}
+	f.setState(model.HostReady, func(h model.HostRecord) bool { return h.Host == "fnc-1" })
+	a = f.after(time.Second).Lookup(blockAt(1))
+	if a.Len() != 1 || a.Host(0).ID != "fnc-1" {
+		t.Errorf("%d hosts, first %v, want fnc-1 only", a.Len(), a.Host(0))
+	}
+}
+
+// Guards against a host that gets all first places, and against one host that
+// takes over the whole load of a stopped one.
+func TestLoadSpreadsOverHosts(t *testing.T) {
+	const blocks, hosts = 20000, 10
+	f := newFixture(blocks, hosts)
+	f.builder.HostWeights = map[model.HostID]float64{"lis-1": 0.5}
+	firsts := func(table *Table) map[model.HostID]float64 {
+		count := make(map[model.HostID]float64)
+		for i := range blocks {
+			a := table.Lookup(blockAt(i))
+			count[a.Host(0).ID] += 1 / (blocks / 9.5)
+		}
+		return count
+	}
+	before := firsts(f.build())
+	for id, share := range before {
+		want := 1.0
+		if id == "lis-1" {
+			want = 0.5
+		}
+		if share < 0.9*want || share > 1.1*want {
+			t.Errorf("host %s has %.2f of a host's share, want %.1f", id, share, want)
+		}
+	}
+	f.setState(model.HostDead, func(h model.HostRecord) bool { return h.Host == "lis-0" })
+	for id, share := range firsts(f.after(time.Second)) {
+		if share > before[id]+0.55 {
+			t.Errorf("host %s went from %.2f to %.2f of a host's share", id, before[id], share)
+		}
+	}
+}
+
+// Guards against rebuilding everything when one host changes.
+func TestHostChangeSharesTheRest(t *testing.T) {
+	f := newFixture(100, 4)
+	one := f.build()
+	f.setState(model.HostStopping, func(h model.HostRecord) bool { return h.Host == "opo-1" })
+	two := f.after(time.Second)
+	if &one.blocks[0] != &two.blocks[0] || one.index != two.index || one.regions[0] != two.regions[0] || one.regions[2] != two.regions[2] {
+		t.Error("the blocks or the other regions' hosts were rebuilt")
+	}
+	if one.regions[1] == two.regions[1] {
+		t.Error("the hosts of the changed region were not rebuilt")
+	}
+}
+
+// Guards against an order that follows one odd measurement or noise between
+// regions at similar distance.
+func TestOrderIgnoresNoise(t *testing.T) {
+	f := newFixture(2, 4)
+	f.in.Document.Environment.MoveCap = 1
+	block := blockAt(0)
+	f.measure(block, 10, 12, 40)
+	f.build()
+	f.measure(blockAt(1), 1, 2, 40)
+	f.build()
+	rng := rand.New(rand.NewSource(2))
+	for i := range 200 {
+		f.measure(block, 10+rng.Intn(3), 9+rng.Intn(4), 40)
+		if i%5 == 0 {
+			f.measure(block, 500, 12, 1)
+		}
+		far := f.in.Measurements
+		f.measure(blockAt(1), 1+rng.Intn(2), 1+rng.Intn(2), 40)
+		f.in.Measurements = append(f.in.Measurements, far...)
+		f.after(10 * time.Second)
+		for k := range 2 {
+			if got := f.builder.blocks.states[k].measured.samples[0].region; got != 0 {
+				t.Fatalf("measurement %d of block %d: nearest region is number %d", i, k, got)
+			}
+		}
+	}
+	for range 20 {
+		f.measure(block, 40, 12, 60)
+		f.after(10 * time.Second)
+	}
+	if got := f.after(time.Second).Lookup(block); got.HomeRegion() != "opo" {
+		t.Errorf("home region %s after a lasting change, want opo", got.HomeRegion())
+	}
+}
+
+// Guards against an order that falls back at once when measurements stop, and
+// against all blocks falling back in one step.
+func TestOrderIsHeldThenDecays(t *testing.T) {
+	const blocks = 1000
+	f := newFixture(blocks, 4)
+	f.in.Document.Environment.MoveCap = 1
+	for i := range blocks {
+		for r, ms := range []int{40, 10, 60} {
+			f.in.Measurements = append(f.in.Measurements, Measurement{
+				Block: blockAt(i), Region: f.in.Document.Regions[r].Name, Latency: time.Duration(ms) * time.Millisecond, MeasuredAt: start,
+			})
+		}
+	}
+	if got := homes(f.build(), blocks)["opo"]; got != blocks {
+		t.Fatalf("%d blocks at the measured region, want %d", got, blocks)
+	}
+	f.in.Measurements = nil
+	previous, largest := blocks, 0
+	for second := 5; second <= 420; second += 5 {
+		got := homes(f.after(5*time.Second), blocks)["opo"]
+		if second <= 60 && got != blocks {
+			t.Fatalf("%d blocks left after %d s, want all", got, second)
+		}
+		largest = max(largest, previous-got)
+		previous = got
+	}
+	if previous != 0 {
+		t.Errorf("%d blocks kept the measured region after the decay", previous)
+	}
+	if largest > blocks/10 {
+		t.Errorf("%d of %d blocks changed within 5 s", largest, blocks)
+	}
+}
