Answer look-ups from the steering table

Cause: the look-up daemon built each answer from the view, returned an empty list when no host was ready, had no limit on connections or slow senders, and broke off a query whose header was partly read when it stopped.

Ruled out: http.Server.Shutdown for the stop; it closes a connection whose header is incomplete (seen: "unexpected EOF"). Leaving connections over the limit in the backlog; their callers would wait instead of asking another look-up host.

Change: tables behind an atomic pointer, rebuilt from views and, once per second while blocks move or orders decay, from time. A strict query decoder with a fuzz target, limits for header, time and connections, counters in expvar, a stop that completes queries which have begun. The effective weights are a function that the lead connects to the ramp.

Before and after, each mechanism switched off in turn: - stop through Shutdown: unexpected EOF; now: status 200, stop within 15 s. - no read timeout: a sender of one byte per second held a connection for 2h16m; now 5 s (fake clock). - no header limit: a header of 64 KB reaches the handler (404); now 431. - no connection limit, or a place not given back: test fails. - double key accepted: status 200; now code 204. Mapped IPv4 not converted: fuzz seed fails. Empty host list: status 200 with no host; now code 200 not-ready. Query with a body: answered; now 204 and the connection closes. - table rebuilt each second without need, or not rebuilt on new weights: test fails either way.

--- /dev/null
+++ b/internal/lookup/lookup_test.go
@@ -0,0 +1,327 @@
+package lookup
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
+	"github.com/wisteriacrank/wisteriacrank/internal/standin"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+	"github.com/wisteriacrank/wisteriacrank/pkg/steering"
+)
+
+func testView(generation model.Generation) *localstate.View {
+	doc := &document.Document{
+		Environment: document.Environment{CacheTime: 10 * time.Second, MoveCap: 1, MoveInterval: time.Second},
+		Regions:     []document.Region{{Name: "lis", Weight: 1}, {Name: "opo", Weight: 1}},
+		Services:    []document.Service{{Name: "passdesk"}},
+		Blocks:      []document.Block{{Prefix: netip.MustParsePrefix("10.1.0.0/16"), Region: "opo"}},
+	}
+	view := &localstate.View{Generation: generation, Document: doc, Received: time.Now()}
+	for i, region := range []model.Region{"lis", "lis", "opo", "opo"} {
+		view.Hosts = append(view.Hosts, model.HostRecord{
+			Host: model.HostID(fmt.Sprintf("%s-%d", region, i)), Region: region, State: model.HostReady,
+			FailureDomain: model.FailureDomain(fmt.Sprint(i % 2)), CallerAddress: fmt.Sprintf("127.0.0.1:%d", 8000+i), EntryIncarnation: 9,
+		})
+	}
+	return view
+}
+
+func testTables() *tables {
+	t := newTables()
+	t.take(testView(3), time.Now())
+	return t
+}
+
+func get(current func() *steering.Table, target string, body io.Reader) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	newHandler(current).ServeHTTP(w, httptest.NewRequest(http.MethodGet, target, body))
+	return w
+}
+
+// Guards against an answer that callers cannot read or whose preferred host is
+// outside the home region.
+func TestAnswerNamesHomeRegionFirst(t *testing.T) {
+	w := get(testTables().current.Load, "/v1/lookup?service=passdesk&block=10.1.7.0/24", nil)
+	var answer standin.LookupAnswer
+	if err := json.Unmarshal(w.Body.Bytes(), &answer); err != nil {
+		t.Fatal(err)
+	}
+	if w.Code != http.StatusOK || answer.Generation != 3 || answer.CacheSeconds != 10 || answer.HomeRegion != "opo" {
+		t.Errorf("status %d, answer %+v", w.Code, answer)
+	}
+	if len(answer.Hosts) != 4 || answer.Hosts[0].Region != "opo" || answer.Hosts[2].Region != "lis" {
+		t.Errorf("hosts %+v", answer.Hosts)
+	}
+}
+
+// Guards against refusals whose code does not tell the caller what to do.
+func TestRefusalsCarryTheirCode(t *testing.T) {
+	ready := testTables().current.Load
+	dead := newTables()
+	view := testView(1)
+	for i := range view.Hosts {
+		view.Hosts[i].State = model.HostDead
+	}
+	dead.take(view, time.Now())
+	for _, c := range []struct {
+		name    string
+		current func() *steering.Table
+		query   string
+		want    result.Code
+	}{
+		{"no configuration", newTables().current.Load, "service=passdesk&block=10.1.0.0/24", result.NotReady},
+		{"no host", dead.current.Load, "service=passdesk&block=10.1.0.0/24", result.NotReady},
+		{"unknown service", ready, "service=other&block=10.1.0.0/24", result.UnknownService},
+		{"no service", ready, "block=10.1.0.0/24", result.BadRequest},
+		{"no block", ready, "service=passdesk", result.BadRequest},
+		{"address as block", ready, "service=passdesk&block=10.1.0.1", result.BadRequest},
+		{"block twice", ready, "service=passdesk&block=10.1.0.0/24&block=10.2.0.0/24", result.BadRequest},
+		{"broken escape", ready, "service=%zz&block=10.1.0.0/24", result.BadRequest},
+		{"part of mapped", ready, "service=passdesk&block=::ffff:0:0/90", result.BadRequest},
+	} {
+		w := get(c.current, "/v1/lookup?"+c.query, nil)
+		if got := w.Header().Get("Wisteria-Result"); got != fmt.Sprint(uint32(c.want)) || w.Code != c.want.HTTPStatus() {
+			t.Errorf("%s: result %s, status %d, want %v", c.name, got, w.Code, c.want)
+		}
+	}
+	w := get(ready, "/v1/lookup?service=passdesk&block=10.1.0.0/24", strings.NewReader("body"))
+	if w.Code != result.BadRequest.HTTPStatus() || w.Header().Get("Connection") != "close" {
+		t.Errorf("status %d, header %v for a query with a body", w.Code, w.Header())
+	}
+}
+
+// Guards against measurements and weights that do not reach the table.
+func TestTablesFollowViewAndTime(t *testing.T) {
+	tables, view := testTables(), testView(4)
+	tables.weights = func(_ *localstate.View, now time.Time) map[model.Region]float64 {
+		return map[model.Region]float64{"lis": 1, "opo": 1, "since": float64(now.Unix())}
+	}
+	view.Latencies = []*wirepb.RegionLatency{
+		{Block: "10.9.0.0/24", Region: "opo", Millis: 3, AgeMillis: 100},
+		{Block: "10.9.0.0/24", Region: "lis", Millis: 30, AgeMillis: 100},
+		{Block: "no block", Region: "lis", Millis: 30},
+	}
+	now := time.Now()
+	tables.take(view, now)
+	table := tables.current.Load()
+	answer := table.Lookup(netip.MustParsePrefix("10.9.0.0/24"))
+	if answer.HomeRegion() != "opo" {
+		t.Errorf("home region %s, want the nearest one", answer.HomeRegion())
+	}
+	if tables.followTime(now); tables.current.Load() != table {
+		t.Error("a table was built although nothing changed")
+	}
+	if tables.followTime(now.Add(time.Second)); tables.current.Load() == table {
+		t.Error("a change of the weights built no table")
+	}
+}
+
+// pipeListener hands out in-memory connections, which follow the fake clock.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	select {
+	case <-l.done:
+	default:
+		close(l.done)
+	}
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial() net.Conn {
+	client, server := net.Pipe()
+	l.conns <- server
+	return client
+}
+
+// served runs serve in a synctest bubble.
+func served(t *testing.T, limit int, test func(l *pipeListener, stop func() error)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l, result := newPipeListener(), make(chan error, 1)
+		go func() { result <- serve(ctx, limitConnections(l, limit), testTables().current.Load) }()
+		test(l, func() error { cancel(); return <-result })
+	})
+}
+
+// Guards against a slow sender that holds a connection for ever, one byte at a
+// time.
+func TestSlowSenderIsCutOff(t *testing.T) {
+	served(t, 10, func(l *pipeListener, stop func() error) {
+		conn, began := l.dial(), time.Now()
+		defer conn.Close()
+		var sender sync.WaitGroup
+		defer sender.Wait()
+		sender.Go(func() {
+			for {
+				if _, err := conn.Write([]byte("G")); err != nil {
+					return
+				}
+				time.Sleep(time.Second)
+			}
+		})
+		_, _ = io.Copy(io.Discard, conn)
+		if held := time.Since(began); held > readTimeout+time.Second {
+			t.Errorf("the connection was held for %v", held)
+		}
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against a header that takes unbounded memory.
+func TestLongHeaderIsRefused(t *testing.T) {
+	served(t, 10, func(l *pipeListener, stop func() error) {
+		conn := l.dial()
+		defer conn.Close()
+		go func() {
+			_, _ = fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: x\r\nPad: %s\r\n\r\n", strings.Repeat("a", 64<<10))
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("response %v, error %v", resp, err)
+		}
+		_ = conn.Close()
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against connections without bound, and against a place that is not
+// given back.
+func TestConnectionsAreLimited(t *testing.T) {
+	served(t, 1, func(l *pipeListener, stop func() error) {
+		first, before := l.dial(), countDroppedOnFull.Value()
+		synctest.Wait()
+		if _, err := l.dial().Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("second connection: %v, want it closed", err)
+		}
+		if countDroppedOnFull.Value() != before+1 {
+			t.Error("the closed connection was not counted")
+		}
+		_ = first.Close()
+		synctest.Wait()
+		third := l.dial()
+		if status := roundTrip(t, third); status != http.StatusOK {
+			t.Errorf("status %d after a place became free", status)
+		}
+		_ = third.Close()
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+const queryText = "GET /v1/lookup?service=passdesk&block=10.1.7.0/24 HTTP/1.1\r\nHost: x\r\n\r\n"
+
+func roundTrip(t *testing.T, conn net.Conn) int {
+	t.Helper()
+	go func() { _, _ = io.WriteString(conn, queryText) }()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// Guards against a planned stop that breaks off a query, and against one that
+// a silent connection delays without bound.
+func TestShutdownCompletesQueriesThatBegan(t *testing.T) {
+	served(t, 10, func(l *pipeListener, stop func() error) {
+		conn, silent := l.dial(), l.dial()
+		defer silent.Close()
+		_, _ = io.WriteString(silent, "GET")
+		_, _ = io.WriteString(conn, queryText[:20])
+		stopped, began := make(chan error, 1), time.Now()
+		go func() { stopped <- stop() }()
+		time.Sleep(time.Second)
+		go func() { _, _ = io.WriteString(conn, queryText[20:]) }()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("response %v, error %v", resp, err)
+		}
+		_ = conn.Close()
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(began); took > shutdownTimeout {
+			t.Errorf("the stop took %v", took)
+		}
+	})
+}
+
+// FuzzParseQuery guards against a query that crashes the decoder, and against
+// one that it understands differently from the standard library.
+func FuzzParseQuery(f *testing.F) {
+	for _, seed := range []string{
+		"service=passdesk&block=10.1.7.0/24", "block=2001:db8::/48&service=a&x=y", "service=a%20b&block=10.0.0.1%2F8",
+		"", "&&&", "service=&service=a", "block=10.0.0.0/33&service=a", "service=a;b&block=0.0.0.0/0", "service=%",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, raw string) {
+		q, refused := parseQuery(raw)
+		if refused != nil {
+			if refused.Code != result.BadRequest {
+				t.Fatalf("code %v", refused.Code)
+			}
+			return
+		}
+		if !q.block.IsValid() || q.block != q.block.Masked() || q.block.Addr().Is4In6() || q.service == "" || len(raw) > maxQueryBytes {
+			t.Fatalf("query %q gives %+v", raw, q)
+		}
+		want, err := url.ParseQuery(raw)
+		if err == nil && want.Get("service") != "" && want.Get("service") != string(q.service) {
+			t.Fatalf("service %q, the library reads %q", q.service, want.Get("service"))
+		}
+	})
+}
+
+// BenchmarkHandler measures a look-up through the handler without a network.
+func BenchmarkHandler(b *testing.B) {
+	h := newHandler(testTables().current.Load)
+	r := httptest.NewRequest(http.MethodGet, "/v1/lookup?service=passdesk&block=10.1.7.0/24", nil)
+	w := httptest.NewRecorder()
+	b.ReportAllocs()
+	for b.Loop() {
+		w.Body.Reset()
+		h.ServeHTTP(w, r)
+	}
+}
--- /dev/null
+++ b/internal/lookup/tables.go
@@ -0,0 +1,90 @@
+package lookup
+
+import (
+	"maps"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/steering"
+)
+
+// tables turns views into tables. Readers load the current table without a
+// lock; it is nil until there is a configuration.
+type tables struct {
+	current atomic.Pointer[steering.Table]
+
+	mu      sync.Mutex
+	builder *steering.Builder
+	input   steering.Input
+	view    *localstate.View
+	// weights returns the effective region weights of a view; nil stands for
+	// the document's weights.
+	weights func(view *localstate.View, now time.Time) map[model.Region]float64
+}
+
+func newTables() *tables {
+	return &tables{builder: steering.NewBuilder()}
+}
+
+// take builds a table for a new view.
+func (t *tables) take(view *localstate.View, now time.Time) {
+	if view.Document == nil || len(view.Document.Regions) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.view = view
+	t.input = steering.Input{
+		Generation:   view.Generation,
+		Document:     view.Document,
+		Hosts:        view.Hosts,
+		Weights:      t.effective(now),
+		Measurements: measurements(view),
+	}
+	t.current.Store(t.builder.Build(t.input, now))
+}
+
+// followTime builds a table if time alone changes it.
+func (t *tables) followTime(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.view == nil {
+		return
+	}
+	weights := t.effective(now)
+	if maps.Equal(weights, t.input.Weights) && !t.builder.Pending(now) {
+		return
+	}
+	t.input.Weights, t.input.Measurements = weights, nil
+	t.current.Store(t.builder.Build(t.input, now))
+}
+
+func (t *tables) effective(now time.Time) map[model.Region]float64 {
+	if t.weights == nil {
+		return nil
+	}
+	return t.weights(t.view, now)
+}
+
+// measurements converts the latencies of a view. One whose block is not a
+// prefix is left out.
+func measurements(view *localstate.View) []steering.Measurement {
+	list := make([]steering.Measurement, 0, len(view.Latencies))
+	for _, l := range view.Latencies {
+		block, err := netip.ParsePrefix(l.Block)
+		if err != nil {
+			continue
+		}
+		list = append(list, steering.Measurement{
+			Block:      block,
+			Region:     model.Region(l.Region),
+			Latency:    time.Duration(l.Millis * float64(time.Millisecond)),
+			MeasuredAt: view.Received.Add(-time.Duration(l.AgeMillis) * time.Millisecond),
+		})
+	}
+	return list
+}
