Bound what one peer can take from a wire session

Cause: a peer could hold the memory of frames that it only announced, any number of streams, and a handler that waits for it to read. A refused large call blocked its sender until its own deadline, which looked like an unknown outcome although nothing ran. A long frame went out in one piece of 256 KB. A client that was closed while it connected kept the new session.

Ruled out: a read of all refused bytes (a peer decides how many there are): at most one more frame limit is read, and a sender that still writes reads the refusal which has arrived. A handler context that always ends with the stream: it would read from streams on which a handler receives, so handlers ask for it with CancelOnClose.

Change: frames are read as they arrive and sent in pieces of 32 KB, each with a time limit; limits for streams per session; refusals are counted; streams closed on one side are reset after 5 s instead of 5 min; a call that cannot be accepted is not sent. Tests run on a fake clock with in-memory connections.

Conclusion: a bad, slow or silent peer costs bounded time and memory.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -39,13 +40,24 @@
 	maxFrame int
 	dials    singleflight.Group
 
+	// connect opens the connection under a session.
+	connect func(address string) (net.Conn, error)
+
 	mu       sync.Mutex
 	sessions map[string]*yamux.Session
+	closed   bool
 }
 
 // NewClient returns a client that greets peers as self.
 func NewClient(self Identity, maxFrameBytes int) *Client {
-	return &Client{self: self, maxFrame: maxFrameBytes, sessions: make(map[string]*yamux.Session)}
+	return &Client{
+		self:     self,
+		maxFrame: maxFrameBytes,
+		sessions: make(map[string]*yamux.Session),
+		connect: func(address string) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, dialTimeout)
+		},
+	}
 }
 
 // Call sends one envelope and waits for one reply. A reply that is a Failure
@@ -66,9 +78,12 @@
 	return reply, nil
 }
 
-// Open starts a call whose replies are read from the stream. The stream is
-// closed when ctx ends.
+// Open starts a call whose replies are read from the stream. The stream ends
+// when ctx ends. Errors are those of Call.
 func (c *Client) Open(ctx context.Context, address string, env *wirepb.Envelope) (*Stream, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &CallError{Err: err}
+	}
 	session, err := c.session(ctx, address)
 	if err != nil {
 		return nil, &CallError{Err: err}
@@ -79,18 +94,23 @@
 		return nil, &CallError{Err: fmt.Errorf("open stream to %s: %w", address, err)}
 	}
 	stream := newStream(conn, c.maxFrame)
-	stream.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	stream.stop = context.AfterFunc(ctx, stream.cancel)
 	if err := stream.Send(env); err != nil {
-		stream.Close()
-		return nil, &CallError{Sent: true, Err: err}
+		defer stream.Close()
+		if refused := stream.refusal(); refused != nil {
+			return nil, refused
+		}
+		var refused *result.Error
+		return nil, &CallError{Sent: !errors.As(err, &refused), Err: err}
 	}
 	return stream, nil
 }
 
-// Close ends all sessions.
+// Close ends all sessions. Later calls fail.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for address, session := range c.sessions {
 		_ = session.Close()
 		delete(c.sessions, address)
@@ -130,7 +150,7 @@
 }
 
 func (c *Client) dial(address string) (*yamux.Session, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := c.connect(address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -139,12 +159,23 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("open session to %s: %w", address, err)
 	}
-	c.mu.Lock()
-	c.sessions[address] = session
-	c.mu.Unlock()
+	if !c.keep(address, session) {
+		_ = session.Close()
+		return nil, fmt.Errorf("open session to %s: %w", address, net.ErrClosed)
+	}
 	return session, nil
 }
 
+// keep stores a session unless the client was closed while it was opened.
+func (c *Client) keep(address string, session *yamux.Session) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.sessions[address] = session
+	}
+	return !c.closed
+}
+
 func (c *Client) drop(address string, session *yamux.Session) {
 	c.mu.Lock()
 	if c.sessions[address] == session {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -23,20 +24,32 @@
 
 const lengthPrefixBytes = 4
 
+// eagerBytes is how much memory the announced length of a frame may claim
+// before the bytes arrive.
+const eagerBytes = 64 << 10
+
 // WriteFrame writes one envelope.
 func WriteFrame(w io.Writer, env *wirepb.Envelope) error {
-	buf := make([]byte, lengthPrefixBytes, lengthPrefixBytes+proto.Size(env))
-	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, env)
+	buf, err := encodeFrame(env)
 	if err != nil {
-		return fmt.Errorf("encode frame: %w", err)
+		return err
 	}
-	binary.BigEndian.PutUint32(buf, uint32(len(buf)-lengthPrefixBytes))
 	if _, err := w.Write(buf); err != nil {
 		return fmt.Errorf("write frame: %w", err)
 	}
 	return nil
 }
 
+func encodeFrame(env *wirepb.Envelope) ([]byte, error) {
+	buf := make([]byte, lengthPrefixBytes, lengthPrefixBytes+proto.Size(env))
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, env)
+	if err != nil {
+		return nil, fmt.Errorf("encode frame: %w", err)
+	}
+	binary.BigEndian.PutUint32(buf, uint32(len(buf)-lengthPrefixBytes))
+	return buf, nil
+}
+
 // ReadFrame reads one envelope of at most maxBytes. A longer frame is not
 // read and yields a result.Error with code FrameTooLarge; bytes that are no
 // envelope, or one without a known body, yield UnknownMessage.
@@ -49,8 +62,8 @@
 	if uint64(length) > uint64(maxBytes) {
 		return nil, result.Errorf(result.FrameTooLarge, "frame of %d bytes, limit %d", length, maxBytes)
 	}
-	payload := make([]byte, length)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	payload, err := readPayload(r, int(length))
+	if err != nil {
 		return nil, fmt.Errorf("read frame: %w", err)
 	}
 	env := &wirepb.Envelope{}
@@ -63,6 +76,23 @@
 	return env, nil
 }
 
+// readPayload allocates memory as the bytes arrive: a peer that announces long
+// frames and sends nothing would otherwise hold their whole length on every
+// stream.
+func readPayload(r io.Reader, length int) ([]byte, error) {
+	if length <= eagerBytes {
+		payload := make([]byte, length)
+		_, err := io.ReadFull(r, payload)
+		return payload, err
+	}
+	var payload bytes.Buffer
+	payload.Grow(eagerBytes)
+	if _, err := io.CopyN(&payload, r, int64(length)); err != nil {
+		return nil, err
+	}
+	return payload.Bytes(), nil
+}
+
 // FailureEnvelope wraps an error for the peer.
 func FailureEnvelope(code result.Code, detail string) *wirepb.Envelope {
 	return &wirepb.Envelope{Body: &wirepb.Envelope_Failure{
--- /dev/null
+++ b/internal/wire/robust_test.go
@@ -0,0 +1,374 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// handlerFunc is a Handler.
+type handlerFunc func(ctx context.Context, env *wirepb.Envelope, stream *Stream)
+
+func (f handlerFunc) Handle(ctx context.Context, _ *wirepb.Hello, env *wirepb.Envelope, stream *Stream) {
+	f(ctx, env, stream)
+}
+
+func echo(_ context.Context, env *wirepb.Envelope, stream *Stream) { _ = stream.Send(env) }
+
+// pair is a client and a server in a synctest bubble, joined by in-memory
+// connections that a test can make silent.
+type pair struct {
+	client *Client
+	server *Server
+	accept chan net.Conn
+	silent atomic.Bool
+	// longest is the longest single write of the client.
+	longest atomic.Int64
+}
+
+// Accept, Close and Addr make the pair the server's listener.
+func (p *pair) Accept() (net.Conn, error) {
+	if conn, ok := <-p.accept; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (p *pair) Close() error   { return nil }
+func (p *pair) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pair) dial() net.Conn {
+	near, far := net.Pipe()
+	p.accept <- far
+	return near
+}
+
+// pairConn drops what is written while the pair is silent.
+type pairConn struct {
+	net.Conn
+	pair *pair
+	// lost stays set: bytes that were dropped are not sent later.
+	lost atomic.Bool
+}
+
+func (c *pairConn) Write(b []byte) (int, error) {
+	c.pair.longest.Store(max(c.pair.longest.Load(), int64(len(b))))
+	if c.pair.silent.Load() || c.lost.Load() {
+		c.lost.Store(true)
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// withPair runs a test on a fake clock. The multiplexer keeps timers in a pool
+// for all sessions, and a timer must not leave its bubble: two collections
+// empty the pool.
+func withPair(t *testing.T, handler handlerFunc, test func(t *testing.T, p *pair)) {
+	t.Helper()
+	emptyPools := func() { runtime.GC(); runtime.GC() }
+	emptyPools()
+	defer emptyPools()
+	synctest.Test(t, func(t *testing.T) {
+		const maxFrame = 1 << 20
+		p := &pair{accept: make(chan net.Conn)}
+		p.client = NewClient(Identity{Environment: "trial"}, maxFrame)
+		p.client.connect = func(string) (net.Conn, error) { return &pairConn{Conn: p.dial(), pair: p}, nil }
+		p.server = NewServer(Identity{Environment: "trial"}, handler, maxFrame, nil)
+		p.server.MaxSessions, p.server.MaxStreams = 2, 3
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- p.server.Serve(ctx, p) }()
+		test(t, p)
+		p.client.Close()
+		cancel()
+		close(p.accept)
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func (p *pair) call(ctx context.Context, id string) error {
+	_, err := p.client.Call(ctx, "peer", recall(id))
+	return err
+}
+
+func wantCode(t *testing.T, err error, want result.Code) {
+	t.Helper()
+	var refused *result.Error
+	if !errors.As(err, &refused) || refused.Code != want {
+		t.Errorf("error %v, want code %v", err, want)
+	}
+}
+
+// Guards against calls that hang on a connection whose peer went silent, and
+// against a client that does not open a new one.
+func TestSilentPeerIsAbandoned(t *testing.T) {
+	withPair(t, echo, func(t *testing.T, p *pair) {
+		if err := p.call(t.Context(), "before"); err != nil {
+			t.Fatal(err)
+		}
+		p.silent.Store(true)
+		began := time.Now()
+		var lost *CallError
+		if err := p.call(t.Context(), "during"); !errors.As(err, &lost) || !lost.Sent {
+			t.Errorf("error %v, want a call that may have been received", err)
+		}
+		if waited := time.Since(began); waited > 3*time.Second {
+			t.Errorf("the call waited %v", waited)
+		}
+		p.silent.Store(false)
+		if err := p.call(t.Context(), "after"); err != nil {
+			t.Errorf("call on a new connection: %v", err)
+		}
+	})
+}
+
+// Guards against a peer that accepts connections and never greets.
+func TestPeerWithoutGreetingIsAbandoned(t *testing.T) {
+	withPair(t, echo, func(t *testing.T, p *pair) {
+		p.client.connect = func(string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			return near, nil
+		}
+		began := time.Now()
+		var lost *CallError
+		if err := p.call(t.Context(), "x"); !errors.As(err, &lost) || lost.Sent {
+			t.Errorf("error %v, want a call that was not sent", err)
+		}
+		if waited := time.Since(began) + dialTimeout; waited > 3*time.Second {
+			t.Errorf("the call waits up to %v", waited)
+		}
+	})
+}
+
+// Guards against a dialer that holds a session's place without a greeting, one
+// byte at a time, and against sessions without bound.
+func TestSlowGreetingIsCutOff(t *testing.T) {
+	withPair(t, echo, func(t *testing.T, p *pair) {
+		conn, began := p.dial(), time.Now()
+		for _, slow := range []net.Conn{conn, p.dial()} {
+			go func() {
+				for _, err := slow.Write([]byte{0}); err == nil; _, err = slow.Write([]byte{0}) {
+					time.Sleep(500 * time.Millisecond)
+				}
+			}()
+		}
+		synctest.Wait()
+		if err := p.call(t.Context(), "x"); err == nil || p.server.Stats().RefusedSessions != 1 {
+			t.Errorf("session over the limit: error %v, counted %d", err, p.server.Stats().RefusedSessions)
+		}
+		_, _ = io.Copy(io.Discard, conn)
+		if held := time.Since(began); held > 2*time.Second {
+			t.Errorf("the place was held for %v", held)
+		}
+		if err := p.call(t.Context(), "y"); err != nil {
+			t.Errorf("call after the place became free: %v", err)
+		}
+	})
+}
+
+// rawCall opens a stream and writes bytes that are no valid frame.
+func (p *pair) rawCall(t *testing.T, raw []byte) error {
+	t.Helper()
+	session, err := p.client.session(t.Context(), "peer")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := session.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The server frees the place of a call after its reply.
+	defer synctest.Wait()
+	defer conn.Close()
+	if _, err := conn.Write(raw); err != nil {
+		return err
+	}
+	reply, err := ReadFrame(conn, maxGreetingBytes)
+	if err != nil {
+		return err
+	}
+	return &result.Error{Code: result.Code(reply.GetFailure().GetCode())}
+}
+
+// Guards against one bad frame that breaks other calls of the connection, is
+// not counted, or leaves its sender without an answer.
+func TestInvalidFramesCloseOnlyTheirStream(t *testing.T) {
+	release := make(chan struct{})
+	wait := func(ctx context.Context, env *wirepb.Envelope, stream *Stream) {
+		<-release
+		echo(ctx, env, stream)
+	}
+	withPair(t, wait, func(t *testing.T, p *pair) {
+		release = make(chan struct{})
+		done := make(chan error)
+		go func() { done <- p.call(t.Context(), "long") }()
+		synctest.Wait()
+		wantCode(t, p.rawCall(t, []byte{0, 0, 0, 2, 0xff, 0xff}), result.UnknownMessage)
+		wantCode(t, p.rawCall(t, []byte{0, 0, 0, 0}), result.UnknownMessage)
+		oversized := make([]byte, 1<<20+lengthPrefixBytes)
+		binary.BigEndian.PutUint32(oversized, 1<<20+1)
+		wantCode(t, p.rawCall(t, oversized), result.FrameTooLarge)
+		if got := p.server.Stats().InvalidInput; got != 3 {
+			t.Errorf("%d frames counted, want 3", got)
+		}
+		close(release)
+		if err := <-done; err != nil {
+			t.Errorf("the other call failed: %v", err)
+		}
+	})
+}
+
+// Guards against a frame that the peer must refuse anyway, and against a retry
+// that the refusal would forbid if the call counted as sent.
+func TestOversizedCallIsNotSent(t *testing.T) {
+	withPair(t, echo, func(t *testing.T, p *pair) {
+		err := p.call(t.Context(), strings.Repeat("x", 1<<20))
+		var unsent *CallError
+		if !errors.As(err, &unsent) || unsent.Sent {
+			t.Errorf("error %v, want a call that was not sent", err)
+		}
+		wantCode(t, err, result.FrameTooLarge)
+	})
+}
+
+// Guards against calls without bound on one connection.
+func TestStreamsPerSessionAreBounded(t *testing.T) {
+	var running atomic.Int64
+	hold := func(ctx context.Context, _ *wirepb.Envelope, stream *Stream) {
+		running.Add(1)
+		defer running.Add(-1)
+		ctx, stop := stream.CancelOnClose(ctx)
+		defer stop()
+		<-ctx.Done()
+	}
+	withPair(t, hold, func(t *testing.T, p *pair) {
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 3 {
+			go func() { _ = p.call(ctx, "held") }()
+		}
+		synctest.Wait()
+		bounded, stop := context.WithTimeout(t.Context(), time.Minute)
+		defer stop()
+		wantCode(t, p.call(bounded, "over"), result.NotReady)
+		// Longer than the peer accepts without reading.
+		wantCode(t, p.call(bounded, strings.Repeat("x", 1<<19)), result.NotReady)
+		if running.Load() != 3 || p.server.Stats().RefusedStreams != 2 {
+			t.Errorf("%d calls run, %d refused", running.Load(), p.server.Stats().RefusedStreams)
+		}
+		cancel()
+		synctest.Wait()
+		session := p.client.cached("peer")
+		if running.Load() != 0 || session == nil || session.NumStreams() != 0 {
+			t.Errorf("%d calls run after their callers cancelled them", running.Load())
+		}
+	})
+}
+
+// Guards against a handler that waits for ever for a peer that does not read.
+func TestUnreadRepliesEnd(t *testing.T) {
+	ended := make(chan error, 1)
+	flood := func(_ context.Context, env *wirepb.Envelope, stream *Stream) {
+		for {
+			if err := stream.Send(env); err != nil {
+				ended <- err
+				return
+			}
+		}
+	}
+	withPair(t, flood, func(t *testing.T, p *pair) {
+		ended = make(chan error, 1)
+		stream, err := p.client.Open(t.Context(), "peer", recall(strings.Repeat("x", 1000)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		select {
+		case <-ended:
+		case <-time.After(time.Minute):
+		}
+		if waited := time.Since(began); waited > chunkTimeout {
+			t.Errorf("the handler waited %v", waited)
+		}
+		stream.Close()
+	})
+}
+
+// Guards against a long frame that occupies the connection in one piece.
+func TestLargeFramesGoOutInPieces(t *testing.T) {
+	withPair(t, echo, func(t *testing.T, p *pair) {
+		if err := p.call(t.Context(), strings.Repeat("x", 1<<19)); err != nil {
+			t.Fatal(err)
+		}
+		if longest := p.longest.Load(); longest > chunkBytes {
+			t.Errorf("a single write of %d bytes, want at most %d", longest, chunkBytes)
+		}
+	})
+}
+
+// Guards against a client that opens connections after it was closed.
+func TestClosedClientKeepsNoSession(t *testing.T) {
+	withPair(t, echo, func(t *testing.T, p *pair) {
+		p.client.Close()
+		if err := p.call(t.Context(), "x"); !errors.Is(err, net.ErrClosed) || p.client.cached("peer") != nil {
+			t.Errorf("error %v", err)
+		}
+	})
+}
+
+// Guards against memory for bytes that a peer only announces.
+func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
+	frame := binary.BigEndian.AppendUint32(nil, 9<<20)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := ReadFrame(bytes.NewReader(frame), DefaultMaxFrameBytes)
+	runtime.ReadMemStats(&after)
+	if grown := after.TotalAlloc - before.TotalAlloc; err == nil || grown > 1<<20 {
+		t.Errorf("error %v, %d bytes allocated", err, grown)
+	}
+}
+
+// FuzzReadFrame guards against bytes that crash the decoder, and against an
+// envelope that changes when it is written and read again.
+func FuzzReadFrame(f *testing.F) {
+	for _, id := range []string{"", "a", strings.Repeat("b", 300)} {
+		var buf bytes.Buffer
+		if err := WriteFrame(&buf, recall(id)); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(buf.Bytes())
+	}
+	f.Add([]byte{0, 0, 0, 2, 0xff, 0xff})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		env, err := ReadFrame(bytes.NewReader(raw), 1<<16)
+		if err != nil {
+			return
+		}
+		var buf bytes.Buffer
+		if err := WriteFrame(&buf, env); err != nil {
+			t.Fatal(err)
+		}
+		again, err := ReadFrame(&buf, 1<<17)
+		if err != nil || !proto.Equal(env, again) {
+			t.Fatalf("error %v, envelope %v became %v", err, env, again)
+		}
+	})
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -13,35 +14,6 @@
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
-// Stream is one call. It is not safe for concurrent sends.
-type Stream struct {
-	conn     *yamux.Stream
-	maxFrame int
-	stop     func() bool
-}
-
-func newStream(conn *yamux.Stream, maxFrame int) *Stream {
-	return &Stream{conn: conn, maxFrame: maxFrame}
-}
-
-// Send writes one envelope.
-func (s *Stream) Send(env *wirepb.Envelope) error {
-	return WriteFrame(s.conn, env)
-}
-
-// Receive reads one envelope.
-func (s *Stream) Receive() (*wirepb.Envelope, error) {
-	return ReadFrame(s.conn, s.maxFrame)
-}
-
-// Close ends the call.
-func (s *Stream) Close() {
-	if s.stop != nil {
-		s.stop()
-	}
-	_ = s.conn.Close()
-}
-
 // Handler answers calls. Implementations are called concurrently, once per
 // stream; the stream is closed when Handle returns.
 type Handler interface {
@@ -59,14 +31,40 @@
 	handler  Handler
 	maxFrame int
 	counters Counters
-	// MaxSessions bounds the sessions that are open at the same time.
+	// MaxSessions bounds the sessions that are open at the same time, and
+	// MaxStreams the calls at the same time on each. Set them before Serve.
 	MaxSessions int
+	MaxStreams  int
 	sessions    sync.WaitGroup
+	stats       serverStats
+}
+
+type serverStats struct{ sessions, streams, invalid atomic.Int64 }
+
+// Stats are the numbers of refusals since the start.
+type Stats struct {
+	// RefusedSessions and RefusedStreams were over the limits.
+	RefusedSessions, RefusedStreams int64
+	// InvalidInput are greetings and frames that were refused.
+	InvalidInput int64
+}
+
+// Stats returns the counters. It is safe for concurrent use.
+func (s *Server) Stats() Stats {
+	return Stats{
+		RefusedSessions: s.stats.sessions.Load(),
+		RefusedStreams:  s.stats.streams.Load(),
+		InvalidInput:    s.stats.invalid.Load(),
+	}
 }
 
 // defaultMaxSessions leaves room for every host of a large region.
 const defaultMaxSessions = 1024
 
+// defaultMaxStreams leaves room for the calls of one busy host, each of which
+// holds a stream while its request waits.
+const defaultMaxStreams = 2048
+
 // firstFrameTimeout bounds the wait for the request frame of an open stream.
 const firstFrameTimeout = 5 * time.Second
 
@@ -78,6 +76,7 @@
 		maxFrame:    maxFrameBytes,
 		counters:    counters,
 		MaxSessions: defaultMaxSessions,
+		MaxStreams:  defaultMaxStreams,
 	}
 }
 
@@ -98,6 +97,7 @@
 		select {
 		case tokens <- struct{}{}:
 		default:
+			s.stats.sessions.Add(1)
 			_ = conn.Close()
 			continue
 		}
@@ -118,40 +118,74 @@
 	defer session.Close()
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
+	s.serveCalls(ctx, session, hello)
+}
+
+func (s *Server) serveCalls(ctx context.Context, session *yamux.Session, hello *wirepb.Hello) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
+	tokens := make(chan struct{}, s.MaxStreams)
 	for {
 		conn, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
-		calls.Go(func() { s.serveStream(ctx, hello, newStream(conn, s.maxFrame)) })
+		stream := newStream(conn, s.maxFrame)
+		stream.invalid = s.countInvalid
+		select {
+		case tokens <- struct{}{}:
+		default:
+			s.refuseStream(stream)
+			continue
+		}
+		calls.Go(func() {
+			defer func() { <-tokens }()
+			s.serveStream(ctx, hello, stream)
+		})
 	}
 }
 
+// refuseStream answers a call over the limit without reading its request.
+func (s *Server) refuseStream(stream *Stream) {
+	s.stats.streams.Add(1)
+	_ = stream.Send(FailureEnvelope(result.NotReady, "too many calls on this connection"))
+	stream.Close()
+}
+
 func (s *Server) serveStream(ctx context.Context, hello *wirepb.Hello, stream *Stream) {
 	defer stream.Close()
 	_ = stream.conn.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 	env, err := stream.Receive()
 	if err != nil {
-		s.refuse(err, stream)
+		refuse(err, stream)
 		return
 	}
 	_ = stream.conn.SetReadDeadline(time.Time{})
 	s.handler.Handle(ctx, hello, env, stream)
 }
 
-func (s *Server) refuse(err error, stream *Stream) {
-	s.count(err)
+// refuse tells the peer why its frame is not accepted. The session stays open.
+func refuse(err error, stream *Stream) {
 	var refused *result.Error
-	if errors.As(err, &refused) {
-		_ = stream.Send(FailureEnvelope(refused.Code, refused.Detail))
+	if !errors.As(err, &refused) {
+		return
+	}
+	_ = stream.Send(FailureEnvelope(refused.Code, refused.Detail))
+	if refused.Code == result.FrameTooLarge {
+		stream.discard()
 	}
 }
 
 func (s *Server) count(err error) {
 	var refused *result.Error
-	if s.counters != nil && errors.As(err, &refused) {
+	if errors.As(err, &refused) {
+		s.countInvalid(refused)
+	}
+}
+
+func (s *Server) countInvalid(refused *result.Error) {
+	s.stats.invalid.Add(1)
+	if s.counters != nil {
 		s.counters.InvalidInput(refused.Code)
 	}
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -15,11 +15,17 @@
 )
 
 const (
-	greetingTimeout   = 2 * time.Second
+	// greetingTimeout bounds the greeting on both sides. With the time for
+	// connecting it abandons a peer that never answers within 3 s.
+	greetingTimeout   = 1900 * time.Millisecond
 	keepAliveInterval = time.Second
 	// keepAliveTimeout closes a session whose peer does not answer a keepalive.
 	// With the interval it abandons a silent peer within 3 s.
 	keepAliveTimeout = 1900 * time.Millisecond
+	// streamCloseTimeout resets a stream that this side has closed and the peer
+	// has not. A peer that is still writing would otherwise wait for room that
+	// never comes. It exceeds the 3 s in which a silent peer is abandoned.
+	streamCloseTimeout = 5 * time.Second
 )
 
 // Identity is what a process says of itself when a connection opens.
@@ -44,6 +50,7 @@
 	cfg.EnableKeepAlive = true
 	cfg.KeepAliveInterval = keepAliveInterval
 	cfg.ConnectionWriteTimeout = keepAliveTimeout
+	cfg.StreamCloseTimeout = streamCloseTimeout
 	cfg.LogOutput = io.Discard
 	return cfg
 }
