Wire lifecycle, drains, ramps, metrics and events into the daemons

Cause: the daemons did not use the drain, ramp, metrics and events packages; a stopping host closed idle connections that callers were about to reuse.

Ruled out: http.Server.SetKeepAlivesEnabled(false) at the stop, which closes idle connections at once; closing connections only at the end, where a caller may reuse one at that moment.

Change: the host's state chart drives the entry daemon; answers of a stopping host close their connection; a dispatcher without servers refuses what waits with code 220, so that owners pass it on; look-ups follow the ramp of weights.

--- a/cmd/wisteria-entry/main.go
+++ b/cmd/wisteria-entry/main.go
@@ -5,10 +5,12 @@
 import (
 	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
 	"github.com/wisteriacrank/wisteriacrank/internal/entry"
-	"github.com/wisteriacrank/wisteriacrank/internal/settings"
 )
 
 func main() {
-	daemon.Main("wisteria-entry", "carries callers' requests to backend servers",
-		func(s *settings.Settings) daemon.Runner { return entry.New(s) })
+	daemon.Run(daemon.Program{
+		Name:  "wisteria-entry",
+		Usage: "carries callers' requests to backend servers",
+		Build: func(base daemon.Base) daemon.Runner { return entry.New(base) },
+	})
 }
--- a/cmd/wisteria-lookup/main.go
+++ b/cmd/wisteria-lookup/main.go
@@ -4,10 +4,12 @@
 import (
 	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
 	"github.com/wisteriacrank/wisteriacrank/internal/lookup"
-	"github.com/wisteriacrank/wisteriacrank/internal/settings"
 )
 
 func main() {
-	daemon.Main("wisteria-lookup", "tells callers which entry hosts to use",
-		func(s *settings.Settings) daemon.Runner { return lookup.New(s) })
+	daemon.Run(daemon.Program{
+		Name:  "wisteria-lookup",
+		Usage: "tells callers which entry hosts to use",
+		Build: func(base daemon.Base) daemon.Runner { return lookup.New(base) },
+	})
 }
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -27,7 +27,7 @@
 	// pollInterval and patience bound only how long a test waits for a state
 	// before it gives up; no test asserts a duration.
 	pollInterval = 50 * time.Millisecond
-	patience     = 90 * time.Second
+	patience     = 20 * time.Second
 )
 
 var binaries string
@@ -59,6 +59,7 @@
 	backends map[string]*backendServer
 	hosts    []*host
 	nextIP   int
+	load     *load
 }
 
 // spec describes a fleet. Every region has two failure domains.
@@ -285,6 +286,11 @@
 }
 
 func (f *fleet) dumpLogs() {
+	if f.load != nil {
+		f.load.mu.Lock()
+		f.t.Logf("%d sent, %d served, failures: %s", f.load.sent.Load(), f.load.served.Load(), strings.Join(f.load.failures, "\n"))
+		f.load.mu.Unlock()
+	}
 	for _, h := range f.hosts {
 		for name, p := range h.processes {
 			f.t.Logf("%s %s:\n%s", h.name, name, p.log.String())
--- a/internal/e2e/rolling_test.go
+++ b/internal/e2e/rolling_test.go
@@ -28,6 +28,7 @@
 func (f *fleet) startLoad(workers int, pause time.Duration) *load {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{stop: cancel}
+	f.load = l
 	caller := f.caller()
 	for w := range workers {
 		l.done.Go(func() { l.work(ctx, caller, w, pause) })
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
@@ -43,9 +44,39 @@
 		writeAnswer(w, refusal(req, refused.Code, refused.Detail))
 		return
 	}
-	d.running.Add(1)
-	defer d.running.Done()
-	writeAnswer(w, d.own(r.Context(), req))
+	if !d.lifecycle.begin() {
+		w.Header().Set("Connection", "close")
+		writeAnswer(w, refusal(req, result.Stopping, "the host is shutting down"))
+		return
+	}
+	defer d.lifecycle.end()
+	if d.lifecycle.state() == model.HostStopping {
+		// The shutdown closes idle connections, and a caller may reuse one at
+		// that moment.
+		w.Header().Set("Connection", "close")
+	}
+	arrived := time.Now()
+	answer := d.own(r.Context(), req)
+	d.observe(req, answer, time.Since(arrived))
+	writeAnswer(w, answer)
+}
+
+// observe counts the answer of a request that arrived from a caller.
+func (d *Daemon) observe(req Request, answer Answer, took time.Duration) {
+	switch answer.Code {
+	case result.UnknownService, result.UnknownRank:
+		// Names that the document does not have must not create metrics.
+		d.metrics.Add("requests_with_unknown_names", 1)
+		return
+	}
+	d.metrics.CountResult(req.Service, req.Rank, answer.Code)
+	d.metrics.ObserveLatency(req.Service, req.Rank, took)
+	switch answer.Code.Class() {
+	case result.ClassUnknown:
+		d.log.Emit(events.OutcomeUnknown, events.Service(req.Service), events.Rank(req.Rank), events.Code(answer.Code))
+	case result.ClassNotRun:
+		d.log.Emit(events.RequestRefused, events.Service(req.Service), events.Rank(req.Rank), events.Code(answer.Code))
+	}
 }
 
 func (d *Daemon) parseRequest(w http.ResponseWriter, r *http.Request, now time.Time) (Request, *result.Error) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/backend"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
+	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/pkg/document"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/rendezvous"
@@ -40,17 +42,21 @@
 	self        model.HostID
 	region      model.Region
 	incarnation model.Incarnation
+	log         *events.Log
+	metrics     *metrics.Registry
 
 	mu         sync.Mutex
 	view       *localstate.View
 	schedulers map[model.Service]*scheduler
 }
 
-func newDispatcher(self model.HostID, region model.Region, incarnation model.Incarnation) *dispatcher {
+func newDispatcher(self model.HostID, region model.Region, incarnation model.Incarnation, log *events.Log, registry *metrics.Registry) *dispatcher {
 	return &dispatcher{
 		self:        self,
 		region:      region,
 		incarnation: incarnation,
+		log:         log,
+		metrics:     registry,
 		schedulers:  make(map[model.Service]*scheduler),
 	}
 }
@@ -69,7 +75,7 @@
 		known[service.Name] = true
 		s := d.schedulers[service.Name]
 		if s == nil {
-			s = newScheduler(service, d.region, d.incarnation, view.Document)
+			s = newScheduler(d, service, view.Document)
 			d.schedulers[service.Name] = s
 		}
 		s.update(time.Now(), d.serverChanges(view, previous, service), service, view.Document)
@@ -83,9 +89,10 @@
 
 // boundServer is a backend server that this host dispatches to.
 type boundServer struct {
-	spec    document.Server
-	origin  slots.Origin
-	leaving bool
+	spec   document.Server
+	origin slots.Origin
+	// listedLeaving says that the platform's host list marks it as leaving.
+	listedLeaving bool
 }
 
 // serverChanges returns the servers of the service that are assigned to this
@@ -98,9 +105,9 @@
 			continue
 		}
 		mine[spec.Name] = boundServer{
-			spec:    spec,
-			origin:  originOf(previous, spec.Name),
-			leaving: spec.Drain || view.Leaving[spec.Name],
+			spec:          spec,
+			origin:        originOf(previous, spec.Name),
+			listedLeaving: view.Leaving[spec.Name],
 		}
 	}
 	return mine
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -99,10 +99,12 @@
 
 // handleForward serves a request that another entry host passed on.
 func (d *Daemon) handleForward(ctx context.Context, holder model.HostID, forward *wirepb.ForwardRequest) *wirepb.Envelope {
-	d.running.Add(1)
-	defer d.running.Done()
 	req := requestFromWire(forward, time.Now())
-	var answer Answer
+	answer := refusal(req, result.Stopping, "the host is shutting down")
+	if !d.lifecycle.begin() {
+		return &wirepb.Envelope{Body: &wirepb.Envelope_ForwardReply{ForwardReply: answerToWire(answer)}}
+	}
+	defer d.lifecycle.end()
 	if forward.Stage == wirepb.Stage_STAGE_OWNER {
 		answer = d.ownForwarded(ctx, req)
 	} else {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -16,7 +16,7 @@
 const (
 	// localTries bounds the dispatchers of the own region that are tried in
 	// one pass.
-	localTries = 2
+	localTries = 3
 	// A request that waits for capacity tries again after these delays.
 	minCapacityWait = 25 * time.Millisecond
 	maxCapacityWait = 400 * time.Millisecond
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/backend"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/pkg/admission"
+	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
 	"github.com/wisteriacrank/wisteriacrank/pkg/grant"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
@@ -20,6 +22,7 @@
 	}
 	if req.HomeRegion != d.region {
 		if code := s.startMove(time.Now()); code != result.Served {
+			d.log.Emit(events.MoveLimitReached, events.Region(req.HomeRegion), events.Service(req.Service))
 			return refusal(req, code, "traffic moved to "+string(d.region))
 		}
 		defer func() { s.finishMove(time.Now()) }()
@@ -44,6 +47,7 @@
 	if code != result.Served {
 		return refusal(req, code, "")
 	}
+	queued := time.Now()
 	for {
 		if waiter != nil {
 			r, code = s.await(ctx, waiter)
@@ -51,6 +55,7 @@
 				return refusal(req, code, "")
 			}
 		}
+		s.metrics.ObserveQueueTime(req.Service, req.Rank, time.Since(queued))
 		answer, again := s.execute(ctx, req, r)
 		if again == nil {
 			return answer
@@ -97,7 +102,7 @@
 	}, s.answerTimeout())
 	again := s.finish(time.Now(), r, got.Code)
 	if got.Draining {
-		s.noteDraining(time.Now(), r.server)
+		s.observe(time.Now(), r.server, drain.AnswerHeader, true, r.since)
 	}
 	return Answer{
 		RequestID:     req.ID,
@@ -115,12 +120,3 @@
 	defer s.mu.Unlock()
 	return s.service.AnswerTimeout
 }
-
-// noteDraining stops new work for a server that announced that it leaves.
-func (s *scheduler) noteDraining(now time.Time, name model.ServerID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.specs[name]; ok {
-		s.setLeaving(now, name, true)
-	}
-}
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/backend"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/pkg/admission"
 	"github.com/wisteriacrank/wisteriacrank/pkg/balance"
 	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
 	"github.com/wisteriacrank/wisteriacrank/pkg/grant"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/movecap"
@@ -23,10 +27,13 @@
 // scheduler runs the requests of one service on the servers of this host. It
 // serializes access to the decision packages and is safe for concurrent use.
 type scheduler struct {
-	region model.Region
+	region  model.Region
+	log     *events.Log
+	metrics *metrics.Registry
 
 	mu       sync.Mutex
 	service  document.Service
+	drains   *drain.Servers
 	queue    *admission.Queue
 	table    *slots.Table
 	ledger   *grant.Ledger
@@ -60,14 +67,17 @@
 	preempted bool
 }
 
-func newScheduler(service document.Service, region model.Region, incarnation model.Incarnation, doc *document.Document) *scheduler {
+func newScheduler(d *dispatcher, service document.Service, doc *document.Document) *scheduler {
 	now := time.Now()
 	return &scheduler{
-		region:  region,
+		region:  d.region,
+		log:     d.log,
+		metrics: d.metrics,
 		service: service,
+		drains:  drain.NewServers(),
 		queue:   admission.New(now, doc.Ranks, 0),
 		table:   slots.New(),
-		ledger:  grant.NewLedger(incarnation),
+		ledger:  grant.NewLedger(d.incarnation),
 		moves:   movecap.New(now, doc.Environment.MoveCap, doc.Environment.MoveInterval),
 		conns:   make(connections),
 		specs:   make(map[model.ServerID]document.Server),
@@ -92,6 +102,9 @@
 	for _, orphan := range s.queue.SetRanks(now, doc.Ranks) {
 		s.refuse(orphan.ID, result.UnknownRank)
 	}
+	if len(s.specs) == 0 {
+		s.refuseAll(result.NotDispatcher)
+	}
 	s.moves.Configure(now, doc.Environment.MoveCap, doc.Environment.MoveInterval)
 	s.pump(now)
 }
@@ -99,32 +112,54 @@
 func (s *scheduler) handOver(now time.Time, name model.ServerID) {
 	s.table.Remove(name)
 	s.ledger.RemoveServer(now, name)
+	s.drains.Forget(name)
 	s.conns[name].Close()
 	delete(s.conns, name)
 	delete(s.specs, name)
+	s.log.Emit(events.ServerHandedOver, events.Server(name), events.Service(s.service.Name))
 }
 
 func (s *scheduler) takeOver(now time.Time, name model.ServerID, bound boundServer) {
-	if s.specs[name] != bound.spec {
+	old, known := s.specs[name]
+	if old != bound.spec {
 		s.table.Put(now, bound.spec, bound.origin)
-		if old := s.conns[name]; old == nil || s.specs[name].Address != bound.spec.Address {
-			if old != nil {
-				old.Close()
-			}
+		if known && old.Address != bound.spec.Address {
+			s.conns[name].Close()
+		}
+		if !known || old.Address != bound.spec.Address {
 			s.conns[name] = backend.NewServer(bound.spec)
+			s.log.Emit(events.ServerTaken, events.Server(name), events.Service(s.service.Name))
 		}
 		s.specs[name] = bound.spec
 	}
-	s.setLeaving(now, name, bound.leaving)
+	s.drains.Observe(name, drain.Document, bound.spec.Drain, now)
+	s.drains.Observe(name, drain.HostList, bound.listedLeaving, now)
+	s.applyDrain(now, name)
 }
 
-// setLeaving stops or resumes new work for a server.
-func (s *scheduler) setLeaving(now time.Time, name model.ServerID, leaving bool) {
-	s.table.SetLeaving(name, leaving)
-	if leaving {
-		s.ledger.RemoveServer(now, name)
-	} else {
+// observe takes a statement about a server's drain.
+func (s *scheduler) observe(now time.Time, name model.ServerID, source drain.Source, leaving bool, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.specs[name]; !ok {
+		return
+	}
+	before := s.drains.MayUse(name, now)
+	s.drains.Observe(name, source, leaving, at)
+	if before && !s.drains.MayUse(name, now) {
+		s.log.Emit(events.ServerDraining, events.Server(name), events.Reason(fmt.Errorf("source %s", source)))
+	}
+	s.applyDrain(now, name)
+}
+
+// applyDrain stops or resumes new work for a server.
+func (s *scheduler) applyDrain(now time.Time, name model.ServerID) {
+	usable := s.drains.MayUse(name, now)
+	s.table.SetLeaving(name, !usable)
+	if usable {
 		s.ledger.SetServer(now, name, s.specs[name].Slots)
+	} else {
+		s.ledger.RemoveServer(now, name)
 	}
 }
 
@@ -199,6 +234,15 @@
 	return r, true
 }
 
+// refuseAll refuses what waits, because no server of this host is left. Owners
+// pass it to another dispatcher.
+func (s *scheduler) refuseAll(code result.Code) {
+	for id := range s.waiting {
+		s.queue.Remove(id)
+		s.refuse(id, code)
+	}
+}
+
 func (s *scheduler) refuse(id admission.ItemID, code result.Code) {
 	if waiter := s.waiting[id]; waiter != nil {
 		delete(s.waiting, id)
--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -6,31 +6,38 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
+	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/settings"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
-// stopGrace is added to the cache time of look-up answers before a stopping
-// host refuses requests.
-const stopGrace = 2 * time.Second
-
 const (
+	// stopGrace is added to the cache time of look-up answers before a stopping
+	// host refuses requests. It covers the time until every look-up host knows.
+	stopGrace = 4 * time.Second
+
 	tickInterval   = 100 * time.Millisecond
 	returnInterval = time.Second
+	// closeTimeout bounds the wait for callers that do not read their answers.
+	closeTimeout = 5 * time.Second
 )
 
 // Daemon is the entry daemon.
 type Daemon struct {
 	settings    *settings.Settings
+	log         *events.Log
+	metrics     *metrics.Registry
+	identity    wire.Identity
 	incarnation model.Incarnation
 	peers       *wire.Client
 	watcher     *localstate.Watcher
@@ -38,12 +45,12 @@
 	remote      *remote
 	links       *links
 	balancer    *balancer
-	state       atomic.Int32 // model.HostState
-	running     sync.WaitGroup
+	lifecycle   *lifecycle
 }
 
 // New returns an entry daemon for the host of the settings.
-func New(s *settings.Settings) *Daemon {
+func New(base daemon.Base) *Daemon {
+	s := base.Settings
 	incarnation := model.NewIncarnation(time.Now())
 	identity := wire.Identity{
 		Environment: s.Host.Environment,
@@ -51,35 +58,44 @@
 		Host:        s.Host.ID,
 		Incarnation: incarnation,
 	}
+	peers := wire.NewClient(identity, s.Limits.MaxFrameBytes)
 	d := &Daemon{
 		settings:    s,
+		log:         base.Log,
+		metrics:     base.Metrics,
+		identity:    identity,
 		incarnation: incarnation,
-		peers:       wire.NewClient(identity, s.Limits.MaxFrameBytes),
-		dispatcher:  newDispatcher(s.Host.ID, s.Host.Region, incarnation),
+		peers:       peers,
+		watcher:     localstate.NewWatcher(peers, s.Listen.Agent),
+		dispatcher:  newDispatcher(s.Host.ID, s.Host.Region, incarnation, base.Log, base.Metrics),
+		remote:      newRemote(s.Host.Region, peers, int64(incarnation)),
 		links:       newLinks(s.Host.Region, s.Limits.MaxBodyBytes),
 		balancer:    newBalancer(int64(incarnation)),
+		lifecycle:   newLifecycle(),
 	}
-	d.remote = newRemote(s.Host.Region, d.peers, int64(incarnation))
-	d.state.Store(int32(model.HostStarting))
-	d.watcher = localstate.NewWatcher(d.peers, s.Listen.Agent)
 	d.watcher.OnChange = d.onView
+	d.watcher.OnError = func(err error) {
+		d.log.Emit(events.AgentLost, events.Address(s.Listen.Agent), events.Reason(err))
+	}
+	d.lifecycle.onAnnounce = func() { d.watcher.ReportNow(context.Background(), d.report()) }
 	return d
 }
 
 // onView puts a new view in force.
 func (d *Daemon) onView(view *localstate.View) {
+	if view.Document == nil {
+		return
+	}
 	d.dispatcher.update(view)
 	d.links.update(view)
-	if view.Document != nil {
-		d.state.CompareAndSwap(int32(model.HostStarting), int32(model.HostReady))
-	}
+	d.lifecycle.configured(view.Document.Environment.CacheTime)
 }
 
 func (d *Daemon) report() *wirepb.ReportLocal {
 	report := &wirepb.ReportLocal{
 		CallerAddress: d.settings.Listen.Callers,
 		PeerAddress:   d.settings.Listen.Peers,
-		State:         wirepb.HostState(d.state.Load()),
+		State:         wirepb.HostState(d.lifecycle.state()),
 		Incarnation:   uint64(d.incarnation),
 	}
 	if view := d.watcher.Current(); view != nil {
@@ -99,24 +115,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	serveCtx, stopServing := context.WithCancel(context.Background())
+	server := d.callerServer()
+	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	identity := wire.Identity{
-		Environment: d.settings.Host.Environment,
-		Role:        wirepb.Role_ROLE_ENTRY,
-		Host:        d.settings.Host.ID,
-		Incarnation: d.incarnation,
-	}
-	server := &http.Server{
-		Handler:           d.callerHandler(),
-		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       30 * time.Second,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    16 << 10,
-	}
 	group.Go(func() error {
-		return wire.NewServer(identity, d, d.settings.Limits.MaxFrameBytes, nil).Serve(serveCtx, peers)
+		return wire.NewServer(d.identity, d, d.settings.Limits.MaxFrameBytes, d).Serve(serveCtx, peers)
 	})
 	group.Go(func() error {
 		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
@@ -124,59 +128,73 @@
 		}
 		return nil
 	})
+	group.Go(func() error { return metrics.Serve(serveCtx, d.settings.Listen.EntryMetrics, d.metrics) })
 	group.Go(func() error { d.watcher.Run(serveCtx); return nil })
-	group.Go(func() error { d.tick(serveCtx); return nil })
-	group.Go(func() error { d.returnGrants(serveCtx); return nil })
 	group.Go(func() error { d.watcher.Report(serveCtx, d.report); return nil })
+	group.Go(func() error { every(serveCtx, tickInterval, d.tick); return nil })
 	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.shutdown(server)
-		case <-serveCtx.Done():
-			_ = server.Close()
-		}
-		stopServing()
+		every(serveCtx, returnInterval, func(time.Time) { d.remote.returnUnused(serveCtx) })
 		return nil
 	})
+	group.Go(func() error {
+		defer stopServing()
+		return d.awaitStop(ctx, serveCtx, server)
+	})
 	return group.Wait()
 }
 
-// tick drives the dispatcher's timers.
-func (d *Daemon) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			d.dispatcher.tick(now)
-		}
+func (d *Daemon) callerServer() *http.Server {
+	limits := d.settings.Limits
+	return &http.Server{
+		Handler:           d.callerHandler(),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		ReadTimeout:       limits.BodyTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+	}
+}
+
+// InvalidInput implements wire.Counters.
+func (d *Daemon) InvalidInput(code result.Code) {
+	d.metrics.Add(fmt.Sprintf("invalid_input_%d", code), 1)
+}
+
+func (d *Daemon) tick(now time.Time) {
+	d.dispatcher.tick(now)
+	d.lifecycle.tick()
+}
+
+// awaitStop leads the graceful shutdown once ctx ends.
+func (d *Daemon) awaitStop(ctx, serveCtx context.Context, server *http.Server) error {
+	select {
+	case <-serveCtx.Done():
+		return server.Close()
+	case <-ctx.Done():
+	}
+	d.log.Emit(events.DaemonStopping, events.Host(d.settings.Host.ID))
+	d.lifecycle.stop()
+	select {
+	case <-serveCtx.Done():
+	case <-d.lifecycle.exited:
+	}
+	closeCtx, cancel := context.WithTimeout(serveCtx, closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(closeCtx); err != nil {
+		return fmt.Errorf("close callers' connections: %w", err)
 	}
+	return nil
 }
 
-// returnGrants gives unused grants back to their dispatchers.
-func (d *Daemon) returnGrants(ctx context.Context) {
-	ticker := time.NewTicker(returnInterval)
+// every calls f once per interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			d.remote.returnUnused(ctx)
+		case now := <-ticker.C:
+			f(now)
 		}
 	}
 }
-
-func (d *Daemon) shutdown(server *http.Server) {
-	d.state.Store(int32(model.HostStopping))
-	d.watcher.ReportNow(context.Background(), d.report())
-	if view := d.watcher.Current(); view != nil && view.Document != nil {
-		time.Sleep(view.Document.Environment.CacheTime + stopGrace)
-	}
-	_ = server.Shutdown(context.Background())
-	d.running.Wait()
-	d.state.Store(int32(model.HostLeft))
-	d.watcher.ReportNow(context.Background(), d.report())
-}
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -12,7 +12,10 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
+	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/settings"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
@@ -26,13 +29,16 @@
 // Daemon is the look-up daemon.
 type Daemon struct {
 	settings    *settings.Settings
+	log         *events.Log
+	metrics     *metrics.Registry
 	incarnation model.Incarnation
 	watcher     *localstate.Watcher
 	tables      *tables
 }
 
 // New returns a look-up daemon for the host of the settings.
-func New(s *settings.Settings) *Daemon {
+func New(base daemon.Base) *Daemon {
+	s := base.Settings
 	incarnation := model.NewIncarnation(time.Now())
 	client := wire.NewClient(wire.Identity{
 		Environment: s.Host.Environment,
@@ -42,11 +48,17 @@
 	}, s.Limits.MaxFrameBytes)
 	d := &Daemon{
 		settings:    s,
+		log:         base.Log,
+		metrics:     base.Metrics,
 		incarnation: incarnation,
 		watcher:     localstate.NewWatcher(client, s.Listen.Agent),
 		tables:      newTables(),
 	}
+	d.tables.weights = effectiveWeights
 	d.watcher.OnChange = func(view *localstate.View) { d.tables.take(view, time.Now()) }
+	d.watcher.OnError = func(err error) {
+		d.log.Emit(events.AgentLost, events.Address(s.Listen.Agent), events.Reason(err))
+	}
 	return d
 }
 
@@ -60,6 +72,7 @@
 	group.Go(func() error { d.watcher.Run(ctx); return nil })
 	group.Go(func() error { d.watcher.Report(ctx, d.report); return nil })
 	group.Go(func() error { d.followTime(ctx); return nil })
+	group.Go(func() error { return metrics.Serve(ctx, d.settings.Listen.LookupMetrics, d.metrics) })
 	group.Go(func() error {
 		return serve(ctx, limitConnections(listener, d.settings.Limits.MaxConnections), d.tables.current.Load)
 	})
--- /dev/null
+++ b/internal/lookup/weights_test.go
@@ -0,0 +1,26 @@
+package lookup
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+)
+
+// Guards against weights that seem lower than the document's, which drained
+// half of the blocks of each region without any change.
+func TestSettledWeightsAreThoseOfTheDocument(t *testing.T) {
+	doc := &document.Document{
+		Environment: document.Environment{MoveCap: 0.1, MoveInterval: time.Second},
+		Regions:     []document.Region{{Name: "bagmati", Weight: 1}, {Name: "gandaki", Weight: 3}},
+	}
+	for _, before := range []map[string]float64{nil, {"bagmati": 5, "gandaki": 1}} {
+		view := &localstate.View{Document: doc, Meta: &wirepb.ConfigMeta{WeightsBefore: before}}
+		weights := effectiveWeights(view, time.Unix(3600, 0))
+		if weights["bagmati"] != 1 || weights["gandaki"] != 3 {
+			t.Errorf("before %v: weights %v", before, weights)
+		}
+	}
+}
