Add the operators' commands with golden sessions

Cause: wisteriactl had apply only, with version 0 as default, one agent, and exit code 1 for everything.

Ruled out: trying the next agent after a refusal (it has the same store, and a refusal is final); draining through an API of its own (production would then differ from what trial ran); writing the document anew from its values (loses comments and order).

Change: check, diff, apply, promote, drain, undrain, status and explain, with help and an example for each. Authors may have any printable characters without spaces.

Tests: testscript sessions with golden files run inside the test process against the stand-in store and an in-process agent API: first apply, rejected document, race lost, lost answer of the store and of an agent, store down, drain, promote, status and wait, next agent, explain, usage.

Seen to fail: without the search for the next agent, exit code 1 instead of 0 (agents, lost_answer); an empty write ID, so that each agent makes its own: 4 instead of 0 (lost_answer:16); version 0 instead of the one read: 4 instead of 0 (race_lost); a second key instead of an edited one: 3 instead of 0 (drain); no-answer taken as unresolved: 6 instead of 0 (lost_answer:4); without the check of regions, or of lagging hosts, wait returns too early (status:11, status:12); without the table of exit codes 8 instead of 7 (rejected). With a time limit that is never reached, the wait does not end.

Conclusion: every operator session of the design runs in tests.

--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,174 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/envobject"
+	"github.com/wisteriacrank/wisteriacrank/internal/operator"
+	"github.com/wisteriacrank/wisteriacrank/internal/platform"
+	"github.com/wisteriacrank/wisteriacrank/internal/standin"
+)
+
+// acceptance is the fixed acceptance time of all changes in the scripts.
+var acceptance = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// session is what one script works on: a store and one agent's API.
+type session struct {
+	store    *standin.Store
+	client   *platform.Client
+	statuses statuses
+}
+
+// statuses returns one status after the other, then the last one again.
+type statuses struct {
+	mu   sync.Mutex
+	left []operator.Status
+}
+
+func (s *statuses) Status(context.Context) (operator.Status, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := s.left[0]
+	if len(s.left) > 1 {
+		s.left = s.left[1:]
+	}
+	return status, nil
+}
+
+const sessionKey = "session"
+
+// Guards against sessions that differ from what the operators' pages promise.
+// The commands run inside the test process.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:             "testdata",
+		Setup:           setup,
+		UpdateScripts:   os.Getenv("UPDATE_SCRIPTS") != "",
+		ContinueOnError: true,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"wisteriactl": func(ts *testscript.TestScript, _ bool, args []string) { run(ts, ExitOK, args) },
+			"exits": func(ts *testscript.TestScript, _ bool, args []string) {
+				want, err := strconv.Atoi(args[0])
+				ts.Check(err)
+				run(ts, want, args[1:])
+			},
+			"store":  changeStore,
+			"stored": printStored,
+			"status": setStatus,
+		},
+	})
+}
+
+func setup(env *testscript.Env) error {
+	s := &session{store: standin.NewStore()}
+	store := httptest.NewServer(s.store.Handler())
+	s.client = platform.NewClient(store.URL)
+	handler := operator.NewHandler(s.client, operator.WithStatus(&s.statuses),
+		operator.WithClock(func() time.Time { return acceptance }))
+	agent, lossy := httptest.NewServer(handler), httptest.NewServer(loseAnswers(handler))
+	env.Defer(func() { agent.Close(); lossy.Close(); store.Close() })
+	env.Setenv("LOSSY", strings.TrimPrefix(lossy.URL, "http://"))
+	env.Values[sessionKey] = s
+	env.Setenv("AGENT", strings.TrimPrefix(agent.URL, "http://"))
+	text, err := os.ReadFile("../../examples/demo/document.ini")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(env.WorkDir, "document.ini"), text, 0o600)
+}
+
+// loseAnswers carries out changes and closes the connection instead of
+// answering, as an agent does that dies in between.
+func loseAnswers(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	})
+}
+
+func of(ts *testscript.TestScript) *session { return ts.Value(sessionKey).(*session) }
+
+func run(ts *testscript.TestScript, want int, args []string) {
+	all := []string{"wisteriactl", "--author", "ana", "--agent", ts.Getenv("AGENT")}
+	if len(args) > 0 && args[0] == "--agent" {
+		all = []string{"wisteriactl", "--author", "ana"}
+	}
+	for _, arg := range args {
+		if strings.HasSuffix(arg, ".ini") {
+			arg = ts.MkAbs(arg)
+		}
+		all = append(all, arg)
+	}
+	stderr := &workDirFilter{ts.Stderr(), ts.Getenv("WORK") + "/"}
+	if code := Main(context.Background(), all, ts.Stdout(), stderr); code != want {
+		ts.Fatalf("exit code %d, want %d", code, want)
+	}
+}
+
+// workDirFilter leaves the script's directory out of file names.
+type workDirFilter struct {
+	io.Writer
+	dir string
+}
+
+func (f *workDirFilter) Write(p []byte) (int, error) {
+	_, err := io.WriteString(f.Writer, strings.ReplaceAll(string(p), f.dir, ""))
+	return len(p), err
+}
+
+func changeStore(ts *testscript.TestScript, _ bool, args []string) {
+	var faults standin.Faults
+	switch args[0] {
+	case "down":
+		faults.Down = true
+	case "loses-answers":
+		n, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		faults.LoseAnswers = n
+	case "up":
+	default:
+		ts.Fatalf("unknown fault %q", args[0])
+	}
+	of(ts).store.SetFaults(faults)
+}
+
+// printStored prints the document that an environment has in the store.
+func printStored(ts *testscript.TestScript, _ bool, args []string) {
+	stored, err := of(ts).client.Get(context.Background(), envobject.Key(args[0]))
+	ts.Check(err)
+	object, err := envobject.Decode(stored.Value)
+	ts.Check(err)
+	_, err = io.WriteString(ts.Stdout(), object.Document)
+	ts.Check(err)
+}
+
+// setStatus sets what the agent reports, one file for each call.
+func setStatus(ts *testscript.TestScript, _ bool, args []string) {
+	var list []operator.Status
+	for _, file := range args {
+		var status operator.Status
+		ts.Check(json.Unmarshal([]byte(ts.ReadFile(file)), &status))
+		list = append(list, status)
+	}
+	s := &of(ts).statuses
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = list
+}
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
+	"unicode"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/envobject"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
@@ -19,6 +21,10 @@
 // documentFile names the document in faults that the agent reports.
 const documentFile = "document"
 
+const maxAuthorBytes = 64
+
+func notInAuthor(r rune) bool { return !unicode.IsGraphic(r) || unicode.IsSpace(r) }
+
 // command holds the values that every change has.
 type command struct {
 	environment string
@@ -34,10 +40,11 @@
 	if err != nil || ifVersion == ^uint64(0) {
 		return c, problem(result.BadCommand, "if-version %q; accepted: the version that the change replaces, 0 for none", query.Get("if-version"))
 	}
-	for _, name := range []string{"write-id", "author"} {
-		if value := query.Get(name); value != "" && !inicheck.ValidName(value) {
-			return c, problem(result.BadCommand, "%s %q; accepted: %s", name, value, inicheck.AcceptedName)
-		}
+	if id := query.Get("write-id"); id != "" && !inicheck.ValidName(id) {
+		return c, problem(result.BadCommand, "write-id %q; accepted: %s", id, inicheck.AcceptedName)
+	}
+	if author := query.Get("author"); len(author) > maxAuthorBytes || strings.ContainsFunc(author, notInAuthor) {
+		return c, problem(result.BadCommand, "author %q; accepted: up to %d printable characters without spaces", author, maxAuthorBytes)
 	}
 	if !inicheck.ValidName(environment) {
 		return c, problem(result.BadCommand, "environment %q; accepted: %s", environment, inicheck.AcceptedName)
