--- /dev/null
+++ b/pkg/quarantine/quarantine_test.go
@@ -0,0 +1,55 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// Guards against a conviction without proof, a third crash, and a notice that
+// lowers a standing.
+func TestStandingFollowsCrashes(t *testing.T) {
+	h := HashOf("booking-desk", "run", []byte("body"))
+	table := NewTable(10)
+	want := func(what string, standing Standing) {
+		t.Helper()
+		if got := table.Standing(h, start); got != standing {
+			t.Errorf("%s: standing %d, want %d", what, got, standing)
+		}
+	}
+	table.Crashed(h, true, start)
+	want("first crash, alone by chance", Suspect)
+	table.Crashed(h, false, start)
+	want("crash beside other work", Suspect)
+	if table.Completed(h, false, start) {
+		t.Error("completion beside other work cleared the suspect")
+	}
+	if !table.Completed(h, true, start) {
+		t.Error("completion alone did not clear the suspect")
+	}
+	want("completed alone", Clear)
+	table.Raise(h, Suspect, start)
+	table.Crashed(h, true, start)
+	want("crash as a suspect, alone", Convicted)
+	table.Clear(h)
+	table.Raise(h, Suspect, start)
+	want("notices after the conviction", Convicted)
+	if got := table.Standing(h, start.Add(Lifetime)); got != Clear || table.Len() != 0 {
+		t.Errorf("after the lifetime: standing %d, %d entries", got, table.Len())
+	}
+}
+
+// Guards against growth without bound, and against suspects that push out
+// convictions.
+func TestFullTableKeepsConvictions(t *testing.T) {
+	table := NewTable(3)
+	convicted := HashOf("s", "p", []byte("convicted"))
+	table.Raise(convicted, Convicted, start)
+	for i := range 100 {
+		table.Raise(HashOf("s", "p", []byte{byte(i)}), Suspect, start.Add(time.Second))
+	}
+	if table.Len() != 3 || table.Standing(convicted, start) != Convicted {
+		t.Errorf("%d entries, standing %d", table.Len(), table.Standing(convicted, start))
+	}
+}
