Decide what each failure towards a backend server proves

Cause: any failed round trip was one code, a request could be sent on a connection that had gone silent, an answer without a length or of another request could be passed on, and the connection limit was not kept.

Ruled out: the library's nothingWritten error (unexported, and it says nothing about a request whose context ended), a plain http.Client (it replays, see below), a probe before idempotent work (one more round trip for work that may be retried), treating a shed without request ID as not run (a crossed shed would be a false not-run).

Change: internal/backend with a state chart per connection (a request that must not run twice starts only on a proven one), probe, poll of /healthz and /load, drain signs, connection limit, keepalive and TCP_USER_TIMEOUT, 3 s silence limit, a byte count that is sealed before it is read, crash detection. The first attempt of idempotent work leaves a silent connection after half of its time, or 8 times the usual answer time if that is longer. The stand-in backend server got truncated, crossed, duplicated, lost and dropped answers, delay, shed, silence per connection, kill and restart; the store got a lagging host list.

Conclusion: not run is only reported when the kernel took no byte or the server said so under the request's ID.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,13 +1,10 @@
-// Package backend sends requests to backend servers over HTTP, one request at
-// a time per connection.
+// Package backend sends requests to backend servers over HTTP/1.1, one request
+// at a time per connection, and never sends a request twice. It decides what
+// each failure proves about the run of the request.
 package backend
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -17,15 +14,30 @@
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
-// Headers of the interface to backend servers.
+// Headers of the interface to backend servers. Every answer to a request,
+// including one that sheds it, carries its request ID.
 const (
 	HeaderRequestID = "Wisteria-Request-Id"
 	HeaderShed      = "Wisteria-Shed"
 	HeaderDraining  = "Wisteria-Draining"
 	HeaderDeadline  = "Wisteria-Deadline-Ms"
+	HeaderRank      = "Wisteria-Rank"
 )
 
-const dialTimeout = time.Second
+const (
+	// SilenceTimeout abandons a connection without a first byte of the answer.
+	SilenceTimeout = 3 * time.Second
+	// LivenessWindow is how recent the last answer on a connection must be for
+	// non-idempotent work.
+	LivenessWindow = time.Second
+	// refusalMemory keeps new work from a server that refused a connection.
+	refusalMemory = time.Second
+	// maxConnectionTries bounds the connections that one request tries before
+	// any of its bytes are written.
+	maxConnectionTries = 3
+	// maxAnswerBytes leaves room for the envelope in a frame between hosts.
+	maxAnswerBytes = 8 << 20
+)
 
 // Request is one request for a backend server.
 type Request struct {
@@ -34,8 +46,11 @@
 	Rank        string
 	ContentType string
 	Idempotent  bool
-	Deadline    time.Time
-	Body        []byte
+	// Retry says that an earlier attempt failed, so that this one gets all of
+	// the remaining time.
+	Retry    bool
+	Deadline time.Time
+	Body     []byte
 }
 
 // Answer is the outcome of one request.
@@ -56,121 +71,112 @@
 	transport *http.Transport
 
 	mu   sync.Mutex
-	idle []*http.ClientConn
+	idle []*connection // in order of their last answer
+	open int
+	// typical is a moving average of the time to the first byte of an answer.
+	typical   time.Duration
+	refusedAt time.Time
+	// announced and reportsDraining are the two ways to learn that the server
+	// leaves: an answer's header and the health endpoint.
+	announced       bool
+	reportsDraining bool
+	closed          bool
 }
 
 // NewServer returns a server without connections.
 func NewServer(spec document.Server) *Server {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Server{
-		spec:      spec,
-		transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true},
+		spec: spec,
+		transport: &http.Transport{
+			DialContext:        dialedConn,
+			DisableCompression: true,
+		},
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. Requests in progress complete.
 func (s *Server) Close() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, conn := range s.idle {
-		_ = conn.Close()
-	}
+	idle := s.idle
 	s.idle = nil
+	s.closed = true
+	s.mu.Unlock()
+	for _, conn := range idle {
+		s.abandon(conn)
+	}
+}
+
+// Reachable reports whether new work may be sent: it is false for a second
+// after the server refused a connection.
+func (s *Server) Reachable(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedAt.IsZero() || now.Sub(s.refusedAt) > refusalMemory
+}
+
+// Draining reports whether the server announced in an answer or its health
+// endpoint that it leaves.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced || s.reportsDraining
 }
 
-// Do runs the request once. It never sends it a second time.
+// Do runs the request once. It never sends it a second time: it takes another
+// connection only if no byte was written on the first, which happens when the
+// server closes an idle connection at that moment.
 func (s *Server) Do(ctx context.Context, req Request, answerTimeout time.Duration) Answer {
-	ctx, cancel := context.WithDeadline(ctx, earlier(req.Deadline, time.Now().Add(answerTimeout)))
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	conn, err := s.connection(ctx)
-	if err != nil {
-		return Answer{Code: result.ConnectFailed, Detail: err.Error()}
-	}
-	answer, reusable := s.roundTrip(ctx, conn, req)
-	if reusable {
-		s.release(conn)
-	} else {
-		_ = conn.Close()
+	var answer Answer
+	for range maxConnectionTries {
+		conn, refused := s.acquire(ctx, req)
+		if refused != nil {
+			return Answer{Code: refused.Code, Detail: refused.Detail}
+		}
+		var reusable bool
+		answer, reusable = s.roundTrip(ctx, conn, req, answerTimeout)
+		if reusable {
+			s.release(conn)
+			return answer
+		}
+		s.abandon(conn)
+		if answer.Code != result.ConnectFailed || ctx.Err() != nil {
+			return answer
+		}
 	}
 	return answer
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// patience is how long to wait for the first byte. The first attempt of
+// idempotent work leaves half of its time for another one, unless answers
+// usually take so long that the server is rather slow than silent.
+func (s *Server) patience(req Request, answerTimeout, remaining time.Duration) time.Duration {
+	const slowFactor = 8
+	wait := min(SilenceTimeout, answerTimeout)
+	if !req.Idempotent || req.Retry {
+		return wait
 	}
-	return b
-}
-
-func (s *Server) connection(ctx context.Context) (*http.ClientConn, error) {
 	s.mu.Lock()
-	for n := len(s.idle); n > 0; n = len(s.idle) {
-		conn := s.idle[n-1]
-		s.idle = s.idle[:n-1]
-		if conn.Err() == nil {
-			s.mu.Unlock()
-			return conn, nil
-		}
-		_ = conn.Close()
-	}
+	typical := s.typical
 	s.mu.Unlock()
-	conn, err := s.transport.NewClientConn(ctx, "http", s.spec.Address)
-	if err != nil {
-		return nil, fmt.Errorf("connect to %s: %w", s.spec.Name, err)
-	}
-	return conn, nil
+	return min(wait, max(remaining/2, slowFactor*typical))
 }
 
-func (s *Server) release(conn *http.ClientConn) {
+// observe updates the moving average of the time to the first byte.
+func (s *Server) observe(took time.Duration) {
+	const weight = 8
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.idle = append(s.idle, conn)
-}
-
-func (s *Server) roundTrip(ctx context.Context, conn *http.ClientConn, req Request) (Answer, bool) {
-	httpReq, err := s.httpRequest(ctx, req)
-	if err != nil {
-		return Answer{Code: result.BadRequest, Detail: err.Error()}, true
-	}
-	resp, err := conn.RoundTrip(httpReq)
-	if err != nil {
-		return Answer{Code: lostCode(ctx), Detail: err.Error()}, false
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil || resp.Header.Get(HeaderRequestID) != req.ID && resp.StatusCode < http.StatusInternalServerError {
-		return Answer{Code: result.AnswerTruncated, Detail: "incomplete answer"}, false
+	if s.typical == 0 {
+		s.typical = took
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == "1" {
-		return Answer{Code: result.ServerShed}, true
-	}
-	return Answer{
-		Code:        result.Served,
-		Status:      resp.StatusCode,
-		ContentType: resp.Header.Get("Content-Type"),
-		Body:        body,
-		Draining:    resp.Header.Get(HeaderDraining) == "1",
-	}, true
+	s.typical += (took - s.typical) / weight
 }
 
-func lostCode(ctx context.Context) result.Code {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return result.DeadlineAfter
-	}
-	return result.ConnectionLost
+// dialedConn hands the connection of newConnection to the HTTP library.
+func dialedConn(ctx context.Context, _, _ string) (net.Conn, error) {
+	return ctx.Value(dialedKey{}).(*trackedConn), nil
 }
 
-// httpRequest builds a request that the HTTP library cannot replay: its body
-// has no GetBody and it carries no idempotency header.
-func (s *Server) httpRequest(ctx context.Context, req Request) (*http.Request, error) {
-	url := "http://" + s.spec.Address + "/" + req.Path
-	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(req.Body))
-	if err != nil {
-		return nil, err
-	}
-	httpReq.GetBody = nil
-	httpReq.Header.Set(HeaderRequestID, req.ID)
-	httpReq.Header.Set("Content-Type", req.ContentType)
-	httpReq.Header.Set(HeaderDeadline, fmt.Sprint(time.Until(req.Deadline).Milliseconds()))
-	return httpReq, nil
-}
+type dialedKey struct{}
--- /dev/null
+++ b/internal/backend/dial.go
@@ -0,0 +1,109 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	// The keepalive finds a lost peer on an idle connection within 3 s.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+// errSealed is returned for a write after the request was given up.
+var errSealed = errors.New("connection is given up")
+
+// trackedConn counts the bytes that the kernel accepted, so that a failed
+// request with no byte written is known not to have run. It is safe for
+// concurrent use.
+type trackedConn struct {
+	net.Conn
+	mu      sync.Mutex
+	sealed  bool
+	written int64
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return 0, errSealed
+	}
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// bytesWritten returns the bytes that the kernel accepted so far.
+func (c *trackedConn) bytesWritten() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// seal closes the connection and returns the final number of bytes written.
+// The HTTP library may return from a request before its writer has started, so
+// the count is only final when no later write is possible.
+func (c *trackedConn) seal() int64 {
+	_ = c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
+
+func (s *Server) dial(ctx context.Context) (*trackedConn, error) {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", s.spec.Address)
+	s.noteDial(err)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", s.spec.Name, err)
+	}
+	return &trackedConn{Conn: conn}, nil
+}
+
+// noteDial remembers whether the server accepts connections. One that refuses
+// them has no process left that could be draining.
+func (s *Server) noteDial(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.refusedAt = time.Time{}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.refusedAt = time.Now()
+		s.announced = false
+		s.reportsDraining = false
+	}
+}
+
+// refusesConnections reports whether the server refuses a new connection,
+// which with a lost one means that its process crashed.
+func (s *Server) refusesConnections() bool {
+	const timeout = 200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	conn, err := s.dial(ctx)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -1,8 +1,6 @@
 package standin
 
 import (
-	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -27,8 +25,12 @@
 	// Silent stops answers on the connections that are open now, while new
 	// connections work.
 	Silent bool `json:"silent"`
-	// Truncate breaks off answers half-way.
-	Truncate bool `json:"truncate"`
+	// Answer is the fault of every answer.
+	Answer AnswerFault `json:"answer"`
+	// Delay is added to the run time of a request.
+	Delay time.Duration `json:"delay"`
+	// Shed refuses every request.
+	Shed bool `json:"shed"`
 }
 
 // CrashMarker in a body makes the backend server stop serving and reset all
@@ -50,9 +52,14 @@
 	busy    int
 	shed    int
 	crashes int
-	runs    []Run
-	conns   map[net.Conn]bool // value: the connection is silent
-	onCrash func()
+	// cancelled counts runs whose connection ended before their answer.
+	cancelled int
+	runs      []Run
+	lastID    string
+	conns     map[net.Conn]bool
+	onCrash   func()
+	// answerFault overrides the fault of the answer to one request.
+	answerFault func(requestID string) AnswerFault
 }
 
 // NewBackend returns a backend server. onCrash runs when a request carries
@@ -80,6 +87,20 @@
 	return b.crashes
 }
 
+// Cancelled returns the number of runs whose connection ended before their
+// answer.
+func (b *Backend) Cancelled() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cancelled
+}
+
+func (b *Backend) noteCancelled() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cancelled++
+}
+
 // SetFaults replaces the injected faults. Silent applies to the connections
 // that are open at this moment.
 func (b *Backend) SetFaults(f BackendFaults) {
@@ -87,11 +108,36 @@
 	defer b.mu.Unlock()
 	b.faults = f
 	for conn := range b.conns {
-		b.conns[conn] = f.Silent
+		if c, ok := conn.(*faultConn); ok {
+			c.silent.Store(f.Silent)
+		}
 	}
 }
 
-type connKey struct{}
+// SetAnswerFaults chooses the fault of each answer by its request ID. It
+// takes precedence over BackendFaults.Answer; nil removes it.
+func (b *Backend) SetAnswerFaults(choose func(requestID string) AnswerFault) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answerFault = choose
+}
+
+// Serve serves connections of the listener until it is closed. Faults of
+// connections need it; Server alone does not inject them.
+func (b *Backend) Serve(listener net.Listener) error {
+	return b.Server().Serve(faultListener{listener})
+}
+
+// resetConnections resets all open connections.
+func (b *Backend) resetConnections() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for conn := range b.conns {
+		if c, ok := conn.(*faultConn); ok {
+			c.reset()
+		}
+	}
+}
 
 // Server returns an HTTP server for the backend server.
 func (b *Backend) Server() *http.Server {
@@ -104,13 +150,14 @@
 		if readJSON(w, r, &faults) {
 			b.SetFaults(faults)
 		}
+		if conn := connOf(r); conn != nil {
+			conn.silent.Store(false)
+		}
 	})
 	mux.HandleFunc("POST /", b.run)
 	return &http.Server{
-		Handler: b.withSilence(mux),
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
-		},
+		Handler:           mux,
+		ConnContext:       withConn,
 		ConnState:         b.track,
 		ReadHeaderTimeout: time.Minute,
 	}
@@ -121,26 +168,12 @@
 	defer b.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		b.conns[conn] = false
+		b.conns[conn] = true
 	case http.StateClosed, http.StateHijacked:
 		delete(b.conns, conn)
 	}
 }
 
-func (b *Backend) withSilence(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, _ := r.Context().Value(connKey{}).(net.Conn)
-		b.mu.Lock()
-		silent := b.conns[conn]
-		b.mu.Unlock()
-		if silent && !strings.HasPrefix(r.URL.Path, "/control/") {
-			<-r.Context().Done()
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (b *Backend) health(w http.ResponseWriter, _ *http.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -163,6 +196,7 @@
 
 func (b *Backend) run(w http.ResponseWriter, r *http.Request) {
 	if !b.takeSlot() {
+		w.Header().Set("Wisteria-Request-Id", r.Header.Get("Wisteria-Request-Id"))
 		w.Header().Set("Wisteria-Shed", "1")
 		http.Error(w, "no free slot", http.StatusServiceUnavailable)
 		return
@@ -172,47 +206,56 @@
 	if err != nil {
 		return
 	}
-	faults, crash := b.record(r, body)
-	if crash {
-		b.onCrash()
-		panic(http.ErrAbortHandler)
+	faults, crossedWith := b.record(r)
+	if b.onCrash != nil && strings.Contains(string(body), CrashMarker) {
+		b.crash()
 	}
 	select {
-	case <-time.After(b.cfg.ServiceTime):
+	case <-time.After(b.cfg.ServiceTime + faults.Delay):
 	case <-r.Context().Done():
+		b.noteCancelled()
 		return
 	}
-	if faults.Draining {
-		w.Header().Set("Wisteria-Draining", "1")
-	}
-	answer := fmt.Sprintf("%s ran %s %s: %s", b.cfg.Name, r.Header.Get("Wisteria-Request-Id"), r.URL.Path, body)
-	w.Header().Set("Wisteria-Request-Id", r.Header.Get("Wisteria-Request-Id"))
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
-	if faults.Truncate {
-		answer = answer[:len(answer)/2]
-	}
-	_, _ = io.WriteString(w, answer)
-	if faults.Truncate {
+	if faults.Answer == AnswerLost || faults.Answer == RequestDropped {
 		panic(http.ErrAbortHandler)
 	}
+	b.writeAnswer(w, r, body, crossedWith, faults)
+}
+
+// crash ends the handler of a request after the process was killed.
+func (b *Backend) crash() {
+	b.mu.Lock()
+	b.crashes++
+	b.mu.Unlock()
+	b.onCrash()
+	panic(http.ErrAbortHandler)
 }
 
-func (b *Backend) record(r *http.Request, body []byte) (BackendFaults, bool) {
+// record notes the run and returns the faults of its answer and the ID of
+// another request.
+func (b *Backend) record(r *http.Request) (BackendFaults, string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.runs = append(b.runs, Run{RequestID: r.Header.Get("Wisteria-Request-Id"), Path: r.URL.Path})
-	crash := b.onCrash != nil && strings.Contains(string(body), CrashMarker)
-	if crash {
-		b.crashes++
+	id := r.Header.Get("Wisteria-Request-Id")
+	faults := b.faults
+	if b.answerFault != nil {
+		faults.Answer = b.answerFault(id)
+	}
+	if faults.Answer != RequestDropped {
+		b.runs = append(b.runs, Run{RequestID: id, Path: r.URL.Path})
+	}
+	crossedWith := b.lastID
+	if crossedWith == "" || crossedWith == id {
+		crossedWith = crossedID
 	}
-	return b.faults, crash
+	b.lastID = id
+	return faults, crossedWith
 }
 
 func (b *Backend) takeSlot() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.busy >= b.cfg.Slots {
+	if b.busy >= b.cfg.Slots || b.faults.Shed {
 		b.shed++
 		return false
 	}
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -43,7 +42,7 @@
 
 func runStore(ctx context.Context, cmd *cli.Command) error {
 	server := &http.Server{Handler: NewStore().Handler(), ReadHeaderTimeout: time.Minute}
-	return serve(ctx, cmd.String("listen"), server)
+	return serve(ctx, cmd.String("listen"), server.Serve)
 }
 
 func runBackend(ctx context.Context, cmd *cli.Command) error {
@@ -54,18 +53,18 @@
 	}
 	const crashExitCode = 3
 	backend := NewBackend(cfg, func() { os.Exit(crashExitCode) })
-	return serve(ctx, cmd.String("listen"), backend.Server())
+	return serve(ctx, cmd.String("listen"), backend.Serve)
 }
 
-func serve(ctx context.Context, address string, server *http.Server) error {
+func serve(ctx context.Context, address string, serveListener func(net.Listener) error) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
 	fmt.Println("listening on", listener.Addr())
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := serveListener(listener); ctx.Err() == nil {
 		return fmt.Errorf("serve: %w", err)
 	}
 	return nil
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -30,6 +30,14 @@
 	// LoseAnswers is the number of writes that take effect but whose answer
 	// is lost.
 	LoseAnswers int `json:"lose_answers"`
+	// HostListLag is how old the host list is that a call returns.
+	HostListLag time.Duration `json:"host_list_lag"`
+}
+
+// hostList is one state of the host list.
+type hostList struct {
+	since    time.Time
+	machines []platform.Machine
 }
 
 // Store is an in-memory store with versions, conditional writes and watches.
@@ -39,7 +47,7 @@
 	version   uint64
 	objects   map[string]platform.Object
 	changed   chan struct{}
-	machines  []platform.Machine
+	hostLists []hostList // in order of time
 	latencies []platform.Latency
 	faults    Faults
 	calls     int
@@ -61,7 +69,25 @@
 func (s *Store) SetMachines(machines []platform.Machine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.machines = machines
+	s.hostLists = append(s.hostLists, hostList{since: time.Now(), machines: machines})
+}
+
+// laggingMachines returns the host list as it was before the injected lag, or
+// the first one if that is newer.
+func (s *Store) laggingMachines() []platform.Machine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.hostLists) == 0 {
+		return []platform.Machine{}
+	}
+	asOf := time.Now().Add(-s.faults.HostListLag)
+	list := s.hostLists[0]
+	for _, later := range s.hostLists[1:] {
+		if !later.since.After(asOf) {
+			list = later
+		}
+	}
+	return list.machines
 }
 
 // SetLatencies replaces the measurements.
@@ -87,9 +113,7 @@
 	mux.HandleFunc("GET /v1/objects", s.list)
 	mux.HandleFunc("GET /v1/watch", s.watch)
 	mux.HandleFunc("GET /v1/machines", func(w http.ResponseWriter, _ *http.Request) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		writeJSON(w, s.machines)
+		writeJSON(w, s.laggingMachines())
 	})
 	mux.HandleFunc("GET /v1/latencies", func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
