configreplica: add the replica of the configuration

Cause: every agent polled the environment's object each second, so calls to the store grew with the fleet, and a host that started during an outage had no configuration.

Ruled out: handing the store watch over when a watcher cannot reach the store (in an outage every host in turn would try); a delta that expresses a changed order of sections (rare, so the whole document is sent); counting the answer of a starting host (it would vouch for what one peer told it).

Change: pkg/configreplica keeps a generation that only rises, chooses two watchers per failure domain by rendezvous hashing, feeds the domain in a tree of fan-out 8 with section deltas checked by digest, lets the second watcher feed when the first is silent, goes around dead children, repairs by pulls, and makes a starting host wait for two failure domains while the store is down. pkg/rendezvous computes each score once per ranking.

--- /dev/null
+++ b/pkg/configreplica/fleet_test.go
@@ -0,0 +1,188 @@
+package configreplica_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/configreplica"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+const (
+	step = 100 * time.Millisecond
+	// inForce is the time in which an accepted configuration reaches every host.
+	inForce = 6 * time.Second
+)
+
+// fleet runs replicas on a fake clock, an instant network with faults and one
+// store. Every host exchanges its generation with a random one per interval.
+type fleet struct {
+	now      time.Time
+	rng      *rand.Rand
+	hosts    []*host
+	stored   configreplica.Snapshot
+	down     bool
+	noProbes bool
+	cut      func(a, b model.HostRecord) bool
+	storeCut func(h model.HostRecord) bool
+	pushes   int
+	cfg      configreplica.Config
+	onPush   func(h *host, p configreplica.Push)
+	pulls    int
+}
+
+type host struct {
+	record model.HostRecord
+	r      *configreplica.Replica
+	off    bool
+	silent bool // watches the store but passes nothing on
+}
+
+func newFleet(n, domains int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), rng: rand.New(rand.NewSource(7)), cfg: configreplica.DefaultConfig()}
+	f.cut = func(a, b model.HostRecord) bool { return false }
+	f.storeCut = func(model.HostRecord) bool { return false }
+	for i := range n {
+		f.hosts = append(f.hosts, &host{record: model.HostRecord{
+			Host:          model.HostID(fmt.Sprintf("host-%04d", i)),
+			Region:        model.Region(fmt.Sprintf("region-%d", i%domains/2)),
+			FailureDomain: model.FailureDomain(fmt.Sprintf("domain-%d", i%domains)),
+		}})
+		f.restart(i)
+	}
+	f.updateMembers()
+	return f
+}
+
+func (f *fleet) restart(i int) {
+	h := f.hosts[i]
+	h.off = false
+	h.r = configreplica.New(h.record, f.cfg, rand.New(rand.NewSource(int64(i))))
+}
+
+func (f *fleet) updateMembers() {
+	var live []model.HostRecord
+	for _, h := range f.hosts {
+		if !h.off {
+			live = append(live, h.record)
+		}
+	}
+	for _, h := range f.hosts {
+		h.r.SetMembers(live)
+	}
+}
+
+func (f *fleet) find(from *host, id model.HostID) *host {
+	for _, h := range f.hosts {
+		if h.record.Host == id && !h.off && !f.cut(from.record, h.record) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (f *fleet) run(h *host, actions []configreplica.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case configreplica.Push:
+			if h.silent {
+				continue
+			}
+			f.pushes++
+			if f.onPush != nil {
+				f.onPush(h, a)
+			}
+			if to := f.find(h, a.To); to != nil {
+				_, next := to.r.ReceivePush(f.now, h.record.Host, a.Delta, a.Subtree)
+				f.run(to, next)
+			} else {
+				f.run(h, h.r.PushFailed(a))
+			}
+		case configreplica.Pull:
+			f.pulls++
+			if peer := f.find(h, a.From); peer != nil {
+				f.run(h, h.r.Pulled(f.now, a.From, peer.r.AnswerPull(a.Have)))
+			} else {
+				h.r.PullFailed()
+			}
+		}
+	}
+}
+
+// advance runs the fleet; each step calls observe, if set.
+func (f *fleet) advance(d time.Duration, observe func()) {
+	const stepsPerProbe = 5
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(step)
+		for _, h := range f.hosts {
+			if !h.off && h.r.Watches() && !f.down && !f.storeCut(h.record) && f.stored.Generation > h.r.Current().Generation {
+				f.run(h, h.r.FromStore(f.now, f.stored))
+			}
+		}
+		for i, h := range f.hosts {
+			if h.off {
+				continue
+			}
+			f.run(h, h.r.Tick(f.now))
+			if !f.noProbes && (int(f.now.UnixMilli()/step.Milliseconds())+i)%stepsPerProbe == 0 {
+				f.probe(h)
+			}
+		}
+		if observe != nil {
+			observe()
+		}
+	}
+}
+
+func (f *fleet) probe(h *host) {
+	peer := f.find(h, f.hosts[f.rng.Intn(len(f.hosts))].record.Host)
+	if peer == nil || peer == h {
+		return
+	}
+	f.run(peer, peer.r.PeerGeneration(f.now, h.record.Host, h.r.Advertised()))
+	f.run(h, h.r.PeerGeneration(f.now, peer.record.Host, peer.r.Advertised()))
+}
+
+// promote accepts the next generation at the store.
+func (f *fleet) promote() {
+	f.stored.Generation++
+	f.stored.Text = document(200, int(f.stored.Generation))
+}
+
+// document has n sections, of which one depends on the version.
+func document(n, version int) string {
+	text := "; comment\n"
+	for i := range n {
+		value := 0
+		if i == version%n {
+			value = version
+		}
+		text += fmt.Sprintf("[server booking-desk-%d]\naddress = 10.0.0.%d:80\nslots = %d\n\n", i, i%250, value)
+	}
+	return text
+}
+
+// behind counts running hosts that do not hold the stored generation.
+func (f *fleet) behind() int {
+	n := 0
+	for _, h := range f.hosts {
+		if !h.off && (h.r.Current().Generation != f.stored.Generation || h.r.Current().Text != f.stored.Text) {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) mustSpread(t *testing.T, what string) {
+	t.Helper()
+	start := f.now
+	for f.now.Sub(start) < inForce && f.behind() > 0 {
+		f.advance(step, nil)
+	}
+	if n := f.behind(); n > 0 {
+		t.Fatalf("%s: %d hosts without generation %d after %v", what, n, f.stored.Generation, inForce)
+	}
+	t.Logf("%s: everywhere after %v, %d pushes, %d pulls", what, f.now.Sub(start), f.pushes, f.pulls)
+}
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -3,6 +3,8 @@
 package rendezvous
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,16 +20,31 @@
 	return d.Sum64()
 }
 
+type scored struct {
+	member string
+	score  uint64
+}
+
+func before(a, b scored) int {
+	if order := cmp.Compare(b.score, a.score); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.member, b.member)
+}
+
 // Rank returns the members in descending order of their score for the key.
 func Rank(key string, members []string) []string {
-	ranked := append([]string(nil), members...)
-	sort.Slice(ranked, func(i, j int) bool {
-		a, b := Score(key, ranked[i]), Score(key, ranked[j])
-		if a != b {
-			return a > b
-		}
-		return ranked[i] < ranked[j]
-	})
+	// Each score is computed once: the comparisons of a sort would need it
+	// again and again.
+	ranking := make([]scored, len(members))
+	for i, member := range members {
+		ranking[i] = scored{member, Score(key, member)}
+	}
+	slices.SortFunc(ranking, before)
+	ranked := make([]string, len(members))
+	for i, entry := range ranking {
+		ranked[i] = entry.member
+	}
 	return ranked
 }
 
