agent: replicate through peers instead of polling the store

Cause: each agent made three store calls a second and kept host records in the store, so calls grew with the fleet, and an outage of the store stopped the view of hosts and the start of new ones.

Ruled out: kept sessions to all members for probes (one keepalive per member and second); the generation in the membership record (every configuration change would spread one record per host); a store poll per host for leaving servers and measurements.

Change: the agent is a shell around pkg/membership and pkg/configreplica. Two agents per failure domain watch the store, one per region reads host list and measurements and passes them on in a tree, with pull repair by probes. Every host reads the object and registers once per start. Seeds come from settings, then from registrations that the host list still has. A host is ready only while its entry daemon reports and its configuration may be used. On SIGTERM the agent is stopping until its entry daemon has left, then leaves.

Conclusion: calls to the store depend on failure domains, regions and starts, not on the number of hosts.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,12 +1,17 @@
-// Package agent is the daemon that talks to the platform's store and feeds
-// the other daemons of its host.
+// Package agent is the daemon that talks to the platform's store, replicates
+// configuration and membership to the other agents, and feeds the other
+// daemons of its host.
+//
+// It is a shell around pkg/membership and pkg/configreplica: one mutex
+// serializes them, and the messages that they return are sent outside of it.
 package agent
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"math/rand"
 	"net"
 	"net/http"
 	"sync"
@@ -14,53 +19,99 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/wisteriacrank/wisteriacrank/internal/envobject"
 	"github.com/wisteriacrank/wisteriacrank/internal/operator"
 	"github.com/wisteriacrank/wisteriacrank/internal/platform"
 	"github.com/wisteriacrank/wisteriacrank/internal/settings"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/configreplica"
+	"github.com/wisteriacrank/wisteriacrank/pkg/membership"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
 const (
-	hostKeyPrefix = "hosts/"
-	pollInterval  = time.Second
+	// tickInterval is a fraction of the probe interval, so that probes and
+	// timeouts are not late by a noticeable part of it.
+	tickInterval = 100 * time.Millisecond
+	// freezeThreshold is the gap between two ticks that shows a freeze.
+	freezeThreshold = time.Second
+	// maxCalls bounds the calls to peers that run at the same time.
+	maxCalls = 64
 )
 
-// Agent is the agent daemon.
+var errSuperseded = errors.New("a later start of this host is running")
+
+// Agent is the agent daemon. Its methods are safe for concurrent use.
 type Agent struct {
-	settings    *settings.Settings
-	platform    platform.Platform
-	incarnation model.Incarnation
+	settings *settings.Settings
+	platform platform.Platform
+	identity wire.Identity
+	// feed keeps its sessions: the children in the feed tree rarely change.
+	feed  *wire.Client
+	calls chan struct{}
 
-	mu      sync.Mutex
+	mu       sync.Mutex
+	members  *membership.Members
+	replica  *configreplica.Replica
+	shared   sharedState
+	local    localDaemons
+	inForce  map[model.HostID]heardGeneration
+	leaving  bool
+	lastTick time.Time
+	// fedMembers is the membership version that the replica knows.
+	fedMembers uint64
+	// seen is the state of the decision packages at the last publication.
+	seen    seenVersions
 	state   *wirepb.LocalState
 	changed chan struct{}
-	self    model.HostRecord
+}
+
+// seenVersions decides whether local daemons need a new state.
+type seenVersions struct {
+	members    uint64
+	generation model.Generation
+	shared     uint64
 }
 
 // New returns an agent for the host of the settings.
 func New(s *settings.Settings, p platform.Platform) *Agent {
-	incarnation := model.NewIncarnation(time.Now())
+	return newAgent(s, p, time.Now())
+}
+
+func newAgent(s *settings.Settings, p platform.Platform, now time.Time) *Agent {
+	incarnation := model.NewIncarnation(now)
+	rng := rand.New(rand.NewSource(now.UnixNano()))
+	self := model.HostRecord{
+		Host:          s.Host.ID,
+		Region:        s.Host.Region,
+		FailureDomain: s.Host.FailureDomain,
+		AgentAddress:  s.Listen.Agent,
+		Incarnation:   incarnation,
+		State:         model.HostStarting,
+	}
+	identity := wire.Identity{
+		Environment: s.Host.Environment,
+		Role:        wirepb.Role_ROLE_AGENT,
+		Host:        s.Host.ID,
+		Incarnation: incarnation,
+	}
 	return &Agent{
-		settings:    s,
-		platform:    p,
-		incarnation: incarnation,
-		state:       &wirepb.LocalState{},
-		changed:     make(chan struct{}),
-		self: model.HostRecord{
-			Host:          s.Host.ID,
-			Region:        s.Host.Region,
-			FailureDomain: s.Host.FailureDomain,
-			AgentAddress:  s.Listen.Agent,
-			Incarnation:   incarnation,
-			State:         model.HostStarting,
-		},
+		settings: s,
+		platform: p,
+		identity: identity,
+		feed:     wire.NewClient(identity, s.Limits.MaxFrameBytes),
+		calls:    make(chan struct{}, maxCalls),
+		members:  membership.New(self, membership.DefaultConfig(), now, rng),
+		replica:  configreplica.New(self, configreplica.DefaultConfig(), rng),
+		local:    make(localDaemons),
+		inForce:  make(map[model.HostID]heardGeneration),
+		lastTick: now,
+		state:    &wirepb.LocalState{},
+		changed:  make(chan struct{}),
 	}
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends, then leaves gracefully.
 func (a *Agent) Run(ctx context.Context) error {
 	peers, err := net.Listen("tcp", a.settings.Listen.Agent)
 	if err != nil {
@@ -70,130 +121,121 @@
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	identity := wire.Identity{
-		Environment: a.settings.Host.Environment,
-		Role:        wirepb.Role_ROLE_AGENT,
-		Host:        a.settings.Host.ID,
-		Incarnation: a.incarnation,
-	}
+	return a.serve(ctx, peers, operators)
+}
+
+func (a *Agent) serve(ctx context.Context, peers, operators net.Listener) error {
 	api := &http.Server{Handler: operator.NewHandler(a.platform), ReadHeaderTimeout: 5 * time.Second}
-	group, ctx := errgroup.WithContext(ctx)
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error {
-		return wire.NewServer(identity, a, a.settings.Limits.MaxFrameBytes, nil).Serve(ctx, peers)
+		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, nil).Serve(serving, peers)
 	})
 	group.Go(func() error {
-		stop := context.AfterFunc(ctx, func() { _ = api.Close() })
+		stop := context.AfterFunc(serving, func() { _ = api.Close() })
 		defer stop()
 		if err := api.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
 	})
-	group.Go(func() error { a.poll(ctx); return nil })
-	return group.Wait()
-}
-
-// poll reads the environment's document and the hosts.
-func (a *Agent) poll(ctx context.Context) {
-	for ctx.Err() == nil {
-		a.pollOnce(ctx)
+	group.Go(func() error { return a.tickLoop(serving) })
+	for _, loop := range []func(context.Context){a.joinLoop, a.firstRead, a.watchLoop, a.register, a.pollLoop} {
+		group.Go(func() error { loop(serving); return nil })
+	}
+	group.Go(func() error {
+		defer stopServing()
 		select {
 		case <-ctx.Done():
-		case <-time.After(pollInterval):
+			a.leave(serving)
+		case <-serving.Done():
 		}
-	}
+		return nil
+	})
+	defer a.feed.Close()
+	return group.Wait()
 }
 
-func (a *Agent) pollOnce(ctx context.Context) {
-	next := &wirepb.LocalState{}
-	object, err := a.platform.Get(ctx, envobject.Key(a.settings.Host.Environment))
-	if err == nil {
-		if stored, err := envobject.Decode(object.Value); err == nil {
-			next.Generation = object.Version
-			next.Document = stored.Document
-			next.Meta = stored.Meta()
-		}
-	}
-	objects, err := a.platform.List(ctx, hostKeyPrefix+a.settings.Host.Environment+"/")
-	if err != nil {
-		return
-	}
-	for _, object := range objects {
-		var record model.HostRecord
-		if json.Unmarshal(object.Value, &record) == nil {
-			next.Hosts = append(next.Hosts, wire.RecordToWire(record))
+func (a *Agent) tickLoop(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
 		}
-	}
-	machines, err := a.platform.Machines(ctx)
-	if err == nil {
-		for _, m := range machines {
-			if m.State == platform.MachineLeaving {
-				next.LeavingServers = append(next.LeavingServers, m.Name)
-			}
+		a.perform(ctx, a.tick(time.Now()))
+		if a.superseded() {
+			return errSuperseded
 		}
 	}
-	a.publish(next)
 }
 
-func (a *Agent) publish(next *wirepb.LocalState) {
+func (a *Agent) superseded() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.state = next
-	close(a.changed)
-	a.changed = make(chan struct{})
+	return a.members.Superseded()
 }
 
-// Handle implements wire.Handler.
-func (a *Agent) Handle(ctx context.Context, _ *wirepb.Hello, env *wirepb.Envelope, stream *wire.Stream) {
-	switch body := env.Body.(type) {
-	case *wirepb.Envelope_WatchState:
-		a.serveWatch(ctx, stream)
-	case *wirepb.Envelope_ReportLocal:
-		a.takeReport(ctx, body.ReportLocal)
-		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ReportLocalReply{ReportLocalReply: &wirepb.ReportLocalReply{}}})
-	}
+// tick advances the decision packages and publishes what changed.
+func (a *Agent) tick(now time.Time) outbox {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if gap := now.Sub(a.lastTick); gap > freezeThreshold {
+		a.local.forgive(gap)
+	}
+	a.lastTick = now
+	a.updateSelf(now)
+	var out outbox
+	out.members = a.members.Tick(now)
+	a.takeMembers()
+	out.replica = a.replica.Tick(now)
+	a.publish(now)
+	return out
 }
 
-func (a *Agent) serveWatch(ctx context.Context, stream *wire.Stream) {
-	for {
-		a.mu.Lock()
-		state, changed := a.state, a.changed
-		a.mu.Unlock()
-		if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_LocalState{LocalState: state}}); err != nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
+// takeMembers hands a changed membership on and forgets hosts that are gone.
+func (a *Agent) takeMembers() {
+	if a.members.Version() == a.fedMembers {
+		return
 	}
+	a.fedMembers = a.members.Version()
+	a.replica.SetMembers(a.members.Live())
+	maps.DeleteFunc(a.inForce, func(host model.HostID, _ heardGeneration) bool {
+		_, known := a.members.Record(host)
+		return !known
+	})
 }
 
-func (a *Agent) takeReport(ctx context.Context, report *wirepb.ReportLocal) {
+// leaveTimeout bounds the wait for the entry daemon's graceful shutdown.
+const leaveTimeout = time.Minute
+
+// leave waits until the entry daemon has stopped and tells the others.
+func (a *Agent) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
 	a.mu.Lock()
-	before := a.self
-	if report.LookupAddress != "" {
-		a.self.LookupAddress = report.LookupAddress
-	}
-	if report.CallerAddress != "" {
-		a.self.CallerAddress = report.CallerAddress
-		a.self.PeerAddress = report.PeerAddress
-		a.self.State = model.HostState(report.State)
-		a.self.EntryIncarnation = model.Incarnation(report.Incarnation)
-	}
-	same := before == a.self
-	if !same {
-		a.self.Sequence++
+	a.leaving = true
+	a.mu.Unlock()
+	for ctx.Err() == nil && a.entryRuns() {
+		sleep(ctx, tickInterval)
 	}
-	record := a.self
+	a.mu.Lock()
+	actions := a.members.Leave(time.Now())
 	a.mu.Unlock()
-	if same {
-		return
+	var sends sync.WaitGroup
+	for _, action := range actions {
+		sends.Go(func() { a.performMember(ctx, action) })
 	}
-	value, err := json.Marshal(record)
-	if err != nil {
-		return
+	sends.Wait()
+}
+
+// sleep waits for a time or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	_, _ = a.platform.Put(ctx, hostKeyPrefix+a.settings.Host.Environment+"/"+string(record.Host), value, platform.AnyVersion)
 }
