--- a/cmd/wisteria-agent/main.go
+++ b/cmd/wisteria-agent/main.go
@@ -6,12 +6,14 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/agent"
 	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
 	"github.com/wisteriacrank/wisteriacrank/internal/platform"
-	"github.com/wisteriacrank/wisteriacrank/internal/settings"
 )
 
 func main() {
-	daemon.Main("wisteria-agent", "replicates configuration and membership",
-		func(s *settings.Settings) daemon.Runner {
-			return agent.New(s, platform.NewClient(s.Store.URL))
-		})
+	daemon.Run(daemon.Program{
+		Name:  "wisteria-agent",
+		Usage: "replicates configuration and membership",
+		Build: func(base daemon.Base) daemon.Runner {
+			return agent.New(base, platform.NewClient(base.Settings.Store.URL))
+		},
+	})
 }
