Collect the operators' status from every host

Cause: wisteriactl status had no source; drains, moves, grants and floods are known only to the entry daemons.

Ruled out: writing status objects to the store, whose writes grow more slowly than the fleet; carrying details in probes, which cost bytes when nobody asks.

The agent serves counters on its metrics address and logs through the events table.

Before: status answered with an error.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/operator"
 	"github.com/wisteriacrank/wisteriacrank/internal/platform"
 	"github.com/wisteriacrank/wisteriacrank/internal/settings"
@@ -44,6 +47,9 @@
 // Agent is the agent daemon. Its methods are safe for concurrent use.
 type Agent struct {
 	settings *settings.Settings
+	// log and metrics discard what they get if they are nil.
+	log      *events.Log
+	metrics  *metrics.Registry
 	platform platform.Platform
 	identity wire.Identity
 	// feed keeps its sessions: the children in the feed tree rarely change.
@@ -74,8 +80,10 @@
 }
 
 // New returns an agent for the host of the settings.
-func New(s *settings.Settings, p platform.Platform) *Agent {
-	return newAgent(s, p, time.Now())
+func New(base daemon.Base, p platform.Platform) *Agent {
+	a := newAgent(base.Settings, p, time.Now())
+	a.log, a.metrics = base.Log, base.Metrics
+	return a
 }
 
 func newAgent(s *settings.Settings, p platform.Platform, now time.Time) *Agent {
@@ -125,7 +133,7 @@
 }
 
 func (a *Agent) serve(ctx context.Context, peers, operators net.Listener) error {
-	api := &http.Server{Handler: operator.NewHandler(a.platform), ReadHeaderTimeout: 5 * time.Second}
+	api := &http.Server{Handler: operator.NewHandler(a.platform, operator.WithLog(a.log), operator.WithStatus(operatorStatus{a})), ReadHeaderTimeout: 5 * time.Second}
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
@@ -141,6 +149,7 @@
 		return nil
 	})
 	group.Go(func() error { return a.tickLoop(serving) })
+	group.Go(func() error { return a.serveMetrics(serving) })
 	for _, loop := range []func(context.Context){a.joinLoop, a.firstRead, a.watchLoop, a.register, a.pollLoop} {
 		group.Go(func() error { loop(serving); return nil })
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
 	"github.com/wisteriacrank/wisteriacrank/internal/envobject"
 	"github.com/wisteriacrank/wisteriacrank/internal/platform"
 	"github.com/wisteriacrank/wisteriacrank/internal/settings"
@@ -64,7 +65,7 @@
 		listeners[i] = l
 	}
 	address := listeners[0].Addr().String()
-	a := New(hostSettings(len(f.agents), address, f.seeds), platform.NewClient(f.url))
+	a := New(daemon.Base{Settings: hostSettings(len(f.agents), address, f.seeds)}, platform.NewClient(f.url))
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -26,6 +26,8 @@
 		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigPushReply{ConfigPushReply: reply}})
 	case *wirepb.Envelope_ConfigPull:
 		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ConfigPullReply{ConfigPullReply: a.answerPull(body.ConfigPull)}})
+	case *wirepb.Envelope_StatusRequest:
+		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_StatusReply{StatusReply: a.entryStatus(time.Now())}})
 	case *wirepb.Envelope_SharedState:
 		a.takeShared(ctx, body.SharedState)
 		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_SharedStateReply{SharedStateReply: &wirepb.SharedStateReply{}}})
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -54,6 +54,7 @@
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure_domain"`
 	State         string `json:"state"`
+	Incarnation   uint64 `json:"incarnation"`
 	// Generation is the one in force when the host was last heard, 0 if it
 	// was never heard.
 	Generation uint64 `json:"generation"`
@@ -135,6 +136,7 @@
 		Region:        string(r.Region),
 		FailureDomain: string(r.FailureDomain),
 		State:         r.State.String(),
+		Incarnation:   uint64(r.Incarnation),
 		AgeMillis:     -1,
 	}
 	if heard, ok := a.inForce[r.Host]; ok {
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -31,9 +31,15 @@
 	log     *events.Log
 	metrics *metrics.Registry
 
-	mu       sync.Mutex
-	service  document.Service
-	drains   *drain.Servers
+	mu      sync.Mutex
+	service document.Service
+	ranks   []document.Rank
+	drains  *drain.Servers
+	// leavingSince has the servers that leave.
+	leavingSince map[model.ServerID]time.Time
+	refusals     refusalMeter
+	// moved counts the requests whose home region is another one.
+	moved    int
 	queue    *admission.Queue
 	table    *slots.Table
 	ledger   *grant.Ledger
@@ -70,19 +76,20 @@
 func newScheduler(d *dispatcher, service document.Service, doc *document.Document) *scheduler {
 	now := time.Now()
 	return &scheduler{
-		region:  d.region,
-		log:     d.log,
-		metrics: d.metrics,
-		service: service,
-		drains:  drain.NewServers(),
-		queue:   admission.New(now, doc.Ranks, 0),
-		table:   slots.New(),
-		ledger:  grant.NewLedger(d.incarnation),
-		moves:   movecap.New(now, doc.Environment.MoveCap, doc.Environment.MoveInterval),
-		conns:   make(connections),
-		specs:   make(map[model.ServerID]document.Server),
-		waiting: make(map[admission.ItemID]*pending),
-		running: make(map[admission.ItemID]*run),
+		region:       d.region,
+		log:          d.log,
+		metrics:      d.metrics,
+		service:      service,
+		drains:       drain.NewServers(),
+		leavingSince: make(map[model.ServerID]time.Time),
+		queue:        admission.New(now, doc.Ranks, 0),
+		table:        slots.New(),
+		ledger:       grant.NewLedger(d.incarnation),
+		moves:        movecap.New(now, doc.Environment.MoveCap, doc.Environment.MoveInterval),
+		conns:        make(connections),
+		specs:        make(map[model.ServerID]document.Server),
+		waiting:      make(map[admission.ItemID]*pending),
+		running:      make(map[admission.ItemID]*run),
 	}
 }
 
@@ -90,7 +97,7 @@
 func (s *scheduler) update(now time.Time, servers map[model.ServerID]boundServer, service document.Service, doc *document.Document) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.service = service
+	s.service, s.ranks = service, doc.Ranks
 	for name := range s.specs {
 		if _, ok := servers[name]; !ok {
 			s.handOver(now, name)
@@ -113,6 +120,7 @@
 	s.table.Remove(name)
 	s.ledger.RemoveServer(now, name)
 	s.drains.Forget(name)
+	delete(s.leavingSince, name)
 	s.conns[name].Close()
 	delete(s.conns, name)
 	delete(s.specs, name)
@@ -157,9 +165,13 @@
 	usable := s.drains.MayUse(name, now)
 	s.table.SetLeaving(name, !usable)
 	if usable {
+		delete(s.leavingSince, name)
 		s.ledger.SetServer(now, name, s.specs[name].Slots)
-	} else {
-		s.ledger.RemoveServer(now, name)
+		return
+	}
+	s.ledger.RemoveServer(now, name)
+	if _, known := s.leavingSince[name]; !known {
+		s.leavingSince[name] = now
 	}
 }
 
@@ -318,6 +330,9 @@
 	s.lastID++
 	item.ID = s.lastID
 	if code := s.queue.Offer(now, item); code != result.Served {
+		if isFlood(code) {
+			s.refusals.add(now, item.Rank)
+		}
 		return nil, code
 	}
 	waiter := newPending(item)
@@ -366,13 +381,18 @@
 func (s *scheduler) startMove(now time.Time) result.Code {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.moves.Start(now)
+	code := s.moves.Start(now)
+	if code == result.Served {
+		s.moved++
+	}
+	return code
 }
 
 func (s *scheduler) finishMove(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.moves.Finish(now)
+	s.moved--
 }
 
 // issue grants spare slots to an entry host of another region. Slots that
--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -97,6 +97,7 @@
 		PeerAddress:   d.settings.Listen.Peers,
 		State:         wirepb.HostState(d.lifecycle.state()),
 		Incarnation:   uint64(d.incarnation),
+		StatusJson:    d.dispatcher.statusJSON(time.Now()),
 	}
 	if view := d.watcher.Current(); view != nil {
 		report.Generation = uint64(view.Generation)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -29,6 +29,39 @@
 	Weights     []RegionWeight `json:"weights,omitempty"`
 }
 
+// HostDetails is what the entry daemon of one host contributes.
+type HostDetails struct {
+	Drains      []DrainStatus `json:"drains,omitempty"`
+	Moves       []MoveStatus  `json:"moves,omitempty"`
+	Grants      []GrantStatus `json:"grants,omitempty"`
+	Floods      []FloodStatus `json:"floods,omitempty"`
+	Quarantined []Quarantined `json:"quarantined,omitempty"`
+}
+
+// Add joins the details of one host.
+func (s *Status) Add(d HostDetails) {
+	s.Drains = append(s.Drains, d.Drains...)
+	s.Moves = append(s.Moves, d.Moves...)
+	s.Grants = append(s.Grants, d.Grants...)
+	s.Floods = append(s.Floods, d.Floods...)
+	for _, q := range d.Quarantined {
+		s.addQuarantined(q)
+	}
+}
+
+// addQuarantined takes the highest count of a region: its hosts share their
+// knowledge, so a sum would count requests repeatedly.
+func (s *Status) addQuarantined(q Quarantined) {
+	for i := range s.Quarantined {
+		if known := &s.Quarantined[i]; known.Region == q.Region && known.Service == q.Service {
+			known.Suspected = max(known.Suspected, q.Suspected)
+			known.Convicted = max(known.Convicted, q.Convicted)
+			return
+		}
+	}
+	s.Quarantined = append(s.Quarantined, q)
+}
+
 // RegionStatus is the configuration in force in a region.
 type RegionStatus struct {
 	Region string `json:"region"`
