Follow the health of backend servers in the dispatcher

Cause: the dispatcher learned of a leaving server only from the document, the host list and answers, and kept sending to servers that refuse connections.

Ruled out: trusting the reported load (it only lowers the limit).

--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -39,12 +39,15 @@
 	leavingSince map[model.ServerID]time.Time
 	refusals     refusalMeter
 	// moved counts the requests whose home region is another one.
-	moved    int
-	queue    *admission.Queue
-	table    *slots.Table
-	ledger   *grant.Ledger
-	moves    *movecap.Limiter
-	conns    connections
+	moved   int
+	queue   *admission.Queue
+	table   *slots.Table
+	ledger  *grant.Ledger
+	moves   *movecap.Limiter
+	conns   connections
+	watches map[model.ServerID]context.CancelFunc
+	// failing has the servers whose latest health check failed.
+	failing  map[model.ServerID]bool
 	specs    map[model.ServerID]document.Server
 	lastID   admission.ItemID
 	waiting  map[admission.ItemID]*pending
@@ -87,6 +90,8 @@
 		ledger:       grant.NewLedger(d.incarnation),
 		moves:        movecap.New(now, doc.Environment.MoveCap, doc.Environment.MoveInterval),
 		conns:        make(connections),
+		watches:      make(map[model.ServerID]context.CancelFunc),
+		failing:      make(map[model.ServerID]bool),
 		specs:        make(map[model.ServerID]document.Server),
 		waiting:      make(map[admission.ItemID]*pending),
 		running:      make(map[admission.ItemID]*run),
@@ -121,8 +126,8 @@
 	s.ledger.RemoveServer(now, name)
 	s.drains.Forget(name)
 	delete(s.leavingSince, name)
-	s.conns[name].Close()
-	delete(s.conns, name)
+	delete(s.failing, name)
+	s.disconnect(name)
 	delete(s.specs, name)
 	s.log.Emit(events.ServerHandedOver, events.Server(name), events.Service(s.service.Name))
 }
@@ -132,11 +137,10 @@
 	if old != bound.spec {
 		s.table.Put(now, bound.spec, bound.origin)
 		if known && old.Address != bound.spec.Address {
-			s.conns[name].Close()
+			s.disconnect(name)
 		}
-		if !known || old.Address != bound.spec.Address {
-			s.conns[name] = backend.NewServer(bound.spec)
-			s.log.Emit(events.ServerTaken, events.Server(name), events.Service(s.service.Name))
+		if s.conns[name] == nil {
+			s.connect(name, bound.spec)
 		}
 		s.specs[name] = bound.spec
 	}
@@ -145,6 +149,60 @@
 	s.applyDrain(now, name)
 }
 
+// connect opens the server for requests and follows its health.
+func (s *scheduler) connect(name model.ServerID, spec document.Server) {
+	server := backend.NewServer(spec)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.conns[name], s.watches[name] = server, cancel
+	go server.Watch(ctx, func(status backend.Status, err error) {
+		if ctx.Err() == nil {
+			s.checked(time.Now(), name, status, err)
+		}
+	})
+	s.log.Emit(events.ServerTaken, events.Server(name), events.Service(s.service.Name))
+}
+
+func (s *scheduler) disconnect(name model.ServerID) {
+	s.watches[name]()
+	s.conns[name].Close()
+	delete(s.watches, name)
+	delete(s.conns, name)
+}
+
+// checked takes the result of a health check. A server that answers again
+// after it did not has restarted, and what it said before no longer counts.
+func (s *scheduler) checked(now time.Time, name model.ServerID, status backend.Status, err error) {
+	s.mu.Lock()
+	spec, known := s.specs[name]
+	failedBefore := s.failing[name]
+	if known {
+		s.failing[name] = err != nil
+	}
+	s.mu.Unlock()
+	if !known {
+		return
+	}
+	if err != nil {
+		s.log.Emit(events.ServerUnreachable, events.Server(name), events.Address(spec.Address), events.Reason(err))
+		return
+	}
+	if failedBefore {
+		s.restarted(now, name)
+	}
+	s.observe(now, name, drain.Health, status.Draining, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Report(now, name, status.Busy)
+	s.pump(now)
+}
+
+func (s *scheduler) restarted(now time.Time, name model.ServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drains.Restarted(name, now)
+	s.table.SetCold(now, name)
+}
+
 // observe takes a statement about a server's drain.
 func (s *scheduler) observe(now time.Time, name model.ServerID, source drain.Source, leaving bool, at time.Time) {
 	s.mu.Lock()
@@ -162,7 +220,7 @@
 
 // applyDrain stops or resumes new work for a server.
 func (s *scheduler) applyDrain(now time.Time, name model.ServerID) {
-	usable := s.drains.MayUse(name, now)
+	usable := s.drains.MayUse(name, now) && s.conns[name].Reachable(now)
 	s.table.SetLeaving(name, !usable)
 	if usable {
 		delete(s.leavingSince, name)
@@ -182,6 +240,9 @@
 	for _, item := range s.queue.Expire(now) {
 		s.refuse(item.ID, result.DeadlineBefore)
 	}
+	for name := range s.specs {
+		s.applyDrain(now, name)
+	}
 	s.pump(now)
 }
 
@@ -293,6 +354,9 @@
 	} else if r.grantID != (grant.ID{}) {
 		s.ledger.Finish(now, r.grantID)
 	}
+	if _, ok := s.specs[r.server]; ok && code == result.ConnectFailed {
+		s.applyDrain(now, r.server)
+	}
 	held := now.Sub(r.since)
 	var again *pending
 	if r.preempted {
