agent: back off from polls in an outage and leave with the entry daemon

Cause: the region's poller called the store each second through an outage, all hosts that start in an outage would register within seconds of its end, and an agent that is restarted alone waited a minute for its entry daemon.

Ruled out: leaving at once (an entry daemon that shuts down gracefully still needs its host in the view); no registration after an outage.

Change: polls back off with jitter, registrations by up to 30 s. The tree of shared state has a test of its own. The fleet test also starts a host while the store accepts calls and never answers.

Conclusion: a store outage neither stops a start nor gathers calls for its end.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -219,7 +219,7 @@
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
-	for ctx.Err() == nil && a.entryRuns() {
+	for start := time.Now(); ctx.Err() == nil && a.entryHolds(time.Since(start)); {
 		sleep(ctx, tickInterval)
 	}
 	a.mu.Lock()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -176,6 +176,9 @@
 	f.store.SetFaults(standin.Faults{Down: true})
 	f.start()
 	f.wait("host started without the store", func() bool { return f.inForceEverywhere(hosts+1, second) })
+	f.store.SetFaults(standin.Faults{Delay: time.Hour})
+	f.start()
+	f.wait("host started while the store does not answer", func() bool { return f.inForceEverywhere(hosts+2, second) })
 
 	f.stops[0]()
 	f.agents = f.agents[1:]
@@ -217,6 +220,29 @@
 	}
 }
 
+// Guards against a tree of shared state that misses or repeats hosts; pulls
+// would hide it in a running fleet.
+func TestSharedStateTreeReachesEveryHostOnce(t *testing.T) {
+	var hosts []model.HostID
+	for i := range 100 {
+		hosts = append(hosts, model.HostID(fmt.Sprintf("host-%d", i)))
+	}
+	reached := make(map[model.HostID]int)
+	var follow func(pushes []sharedPush)
+	follow = func(pushes []sharedPush) {
+		for _, p := range pushes {
+			reached[p.to]++
+			follow(sharedTree(p.subtree))
+		}
+	}
+	follow(sharedTree(hosts))
+	for _, h := range hosts {
+		if reached[h] != 1 {
+			t.Errorf("%s reached %d times", h, reached[h])
+		}
+	}
+}
+
 // Guards against a host that stays ready although its entry daemon died, and
 // against one that drops out because the agent itself was frozen.
 func TestHostIsReadyOnlyWhileItsEntryDaemonReports(t *testing.T) {
--- a/internal/agent/local.go
+++ b/internal/agent/local.go
@@ -83,12 +83,24 @@
 	}
 }
 
-// entryRuns reports whether an entry daemon still has work to complete.
-func (a *Agent) entryRuns() bool {
+// entryHolds reports whether a leaving agent has to wait for its entry daemon:
+// while that shuts down, and at first until it has said so. An entry daemon
+// that stays ready outlives a restart of the agent alone.
+func (a *Agent) entryHolds(waited time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	entry, ok := a.local.fresh(wirepb.Role_ROLE_ENTRY, time.Now())
-	return ok && model.HostState(entry.State) != model.HostLeft
+	entry, runs := a.local.fresh(wirepb.Role_ROLE_ENTRY, time.Now())
+	if !runs {
+		return false
+	}
+	switch model.HostState(entry.State) {
+	case model.HostStopping:
+		return true
+	case model.HostLeft:
+		return false
+	default:
+		return waited < reportTimeout
+	}
 }
 
 // localInForce is the lowest generation that this host's daemons report.
--- a/internal/agent/shared.go
+++ b/internal/agent/shared.go
@@ -98,6 +98,7 @@
 func (a *Agent) pollLoop(ctx context.Context) {
 	var latencies []*wirepb.RegionLatency
 	var latenciesRead time.Time
+	policy := storeBackoff()
 	for ; ctx.Err() == nil; sleep(ctx, pollInterval) {
 		now := time.Now()
 		if !a.polls(now) {
@@ -111,8 +112,10 @@
 		}
 		machines, err := a.platform.Machines(ctx)
 		if err != nil {
+			sleep(ctx, policy.NextBackOff())
 			continue
 		}
+		policy.Reset()
 		a.perform(ctx, a.takePolled(time.Now(), leavingNames(machines), latencies))
 	}
 }
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -22,6 +22,9 @@
 	firstStoreDelay = 200 * time.Millisecond
 	// maxStoreDelay bounds the calls of a long outage and the delay after it.
 	maxStoreDelay = 3 * time.Second
+	// maxRegisterDelay spreads the registrations of hosts that started during
+	// a long outage; nothing waits for them.
+	maxRegisterDelay = 30 * time.Second
 	// watchPause is the time between two checks of a host that does not watch.
 	watchPause = 200 * time.Millisecond
 	// registerWait gives the entry daemon time to report its addresses.
@@ -124,7 +127,9 @@
 			break
 		}
 	}
-	for policy := storeBackoff(); ctx.Err() == nil; sleep(ctx, policy.NextBackOff()) {
+	policy := storeBackoff()
+	policy.MaxInterval = maxRegisterDelay
+	for ; ctx.Err() == nil; sleep(ctx, policy.NextBackOff()) {
 		if a.registerOnce(ctx) {
 			return
 		}
