Let wire clients close idle sessions

Cause: a client kept a session to every address it ever called. An agent that probes 6,100 members in turn would hold 6,100 sessions: by the measured 39 KB for both ends 228 MB, and 1.5 MB/s of keepalives against a limit of 5 KB/s.

Ruled out: a fixed time for all clients; an entry host that talks to another region now and then would pay two round trips for a new session.

Change: Client.IdleTimeout, off by default, closes a session that had no call for that time. A call that meets such a session takes another one.

After (fake clock): closed 3 s after the last call, open for a minute under an open call.

Conclusion: the agent has to set it. Opening a TCP connection per probe still costs more than the probe, see docs/CAPACITY.md.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -43,17 +43,31 @@
 	// connect opens the connection under a session.
 	connect func(address string) (net.Conn, error)
 
+	// IdleTimeout closes sessions without calls. Zero keeps them: a new one
+	// costs two round trips. A process that calls many peers in turn sets it,
+	// because each session costs memory and keepalives. Set it before use.
+	IdleTimeout time.Duration
+
 	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	sessions map[string]*clientSession
 	closed   bool
 }
 
+// clientSession is one session of a client. Its fields belong to the client's
+// lock.
+type clientSession struct {
+	*yamux.Session
+	// calls is the number of open calls; uses counts all since the start.
+	calls int
+	uses  uint64
+}
+
 // NewClient returns a client that greets peers as self.
 func NewClient(self Identity, maxFrameBytes int) *Client {
 	return &Client{
 		self:     self,
 		maxFrame: maxFrameBytes,
-		sessions: make(map[string]*yamux.Session),
+		sessions: make(map[string]*clientSession),
 		connect: func(address string) (net.Conn, error) {
 			return net.DialTimeout("tcp", address, dialTimeout)
 		},
@@ -84,7 +98,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &CallError{Err: err}
 	}
-	session, err := c.session(ctx, address)
+	session, err := c.begin(ctx, address)
 	if err != nil {
 		return nil, &CallError{Err: err}
 	}
@@ -94,6 +108,7 @@
 		return nil, &CallError{Err: fmt.Errorf("open stream to %s: %w", address, err)}
 	}
 	stream := newStream(conn, c.maxFrame)
+	stream.ended = sync.OnceFunc(func() { c.end(address, session) })
 	stream.stop = context.AfterFunc(ctx, stream.cancel)
 	if err := stream.Send(env); err != nil {
 		defer stream.Close()
@@ -117,7 +132,7 @@
 	}
 }
 
-func (c *Client) session(ctx context.Context, address string) (*yamux.Session, error) {
+func (c *Client) session(ctx context.Context, address string) (*clientSession, error) {
 	if session := c.cached(address); session != nil {
 		return session, nil
 	}
@@ -134,11 +149,11 @@
 		if res.Err != nil {
 			return nil, res.Err
 		}
-		return res.Val.(*yamux.Session), nil
+		return res.Val.(*clientSession), nil
 	}
 }
 
-func (c *Client) cached(address string) *yamux.Session {
+func (c *Client) cached(address string) *clientSession {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	session := c.sessions[address]
@@ -149,16 +164,17 @@
 	return session
 }
 
-func (c *Client) dial(address string) (*yamux.Session, error) {
+func (c *Client) dial(address string) (*clientSession, error) {
 	conn, err := c.connect(address)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	session, err := openSession(conn, c.self)
+	opened, err := openSession(conn, c.self)
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("open session to %s: %w", address, err)
 	}
+	session := &clientSession{Session: opened}
 	if !c.keep(address, session) {
 		_ = session.Close()
 		return nil, fmt.Errorf("open session to %s: %w", address, net.ErrClosed)
@@ -167,7 +183,7 @@
 }
 
 // keep stores a session unless the client was closed while it was opened.
-func (c *Client) keep(address string, session *yamux.Session) bool {
+func (c *Client) keep(address string, session *clientSession) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
@@ -176,7 +192,57 @@
 	return !c.closed
 }
 
-func (c *Client) drop(address string, session *yamux.Session) {
+// begin returns a session and counts a call on it. An idle session may be
+// closed between its look-up and the count; it is then looked up again.
+func (c *Client) begin(ctx context.Context, address string) (*clientSession, error) {
+	for {
+		session, err := c.session(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		if c.count(address, session) {
+			return session, nil
+		}
+	}
+}
+
+func (c *Client) count(address string, session *clientSession) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sessions[address] != session {
+		return false
+	}
+	session.calls++
+	session.uses++
+	return true
+}
+
+// end notes the end of a call and closes the session if no other begins in
+// time.
+func (c *Client) end(address string, session *clientSession) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	session.calls--
+	if session.calls > 0 || c.IdleTimeout == 0 {
+		return
+	}
+	uses := session.uses
+	time.AfterFunc(c.IdleTimeout, func() { c.closeIdle(address, session, uses) })
+}
+
+func (c *Client) closeIdle(address string, session *clientSession, uses uint64) {
+	c.mu.Lock()
+	idle := session.uses == uses
+	if idle && c.sessions[address] == session {
+		delete(c.sessions, address)
+	}
+	c.mu.Unlock()
+	if idle {
+		_ = session.Close()
+	}
+}
+
+func (c *Client) drop(address string, session *clientSession) {
 	c.mu.Lock()
 	if c.sessions[address] == session {
 		delete(c.sessions, address)
--- a/internal/wire/robust_test.go
+++ b/internal/wire/robust_test.go
@@ -333,6 +333,41 @@
 	})
 }
 
+// Guards against sessions that stay open after a process has called every
+// peer once, and against one that is closed under a call.
+func TestIdleSessionsAreClosed(t *testing.T) {
+	withPair(t, echo, func(t *testing.T, p *pair) {
+		p.client.IdleTimeout = 3 * time.Second
+		for range 5 {
+			if err := p.call(t.Context(), "x"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		watch, err := p.client.Open(t.Context(), "peer", recall("watch"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		session := p.client.cached("peer")
+		if session == nil {
+			t.Fatal("the session of an open call was closed")
+		}
+		watch.Close()
+		time.Sleep(2900 * time.Millisecond)
+		if session.IsClosed() {
+			t.Error("the session was closed before its time")
+		}
+		time.Sleep(200 * time.Millisecond)
+		if !session.IsClosed() || p.client.cached("peer") != nil {
+			t.Error("the idle session is still open")
+		}
+		if err := p.call(t.Context(), "again"); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Guards against memory for bytes that a peer only announces.
 func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
 	frame := binary.BigEndian.AppendUint32(nil, 9<<20)
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -33,7 +33,9 @@
 	maxFrame int
 	stop     func() bool
 	// invalid is called for received frames that are no valid envelopes.
-	invalid   func(*result.Error)
+	invalid func(*result.Error)
+	// ended is called when the call is closed.
+	ended     func()
 	cancelled atomic.Bool
 }
 
@@ -124,4 +126,7 @@
 		s.stop()
 	}
 	_ = s.conn.Close()
+	if s.ended != nil {
+		s.ended()
+	}
 }
