Derive the capacity page from measured slopes

Cause: nothing said what a role needs at the size to design for.

Ruled out: figures typed into the page; they would not follow the code. Clock time for own figures: the machine ran other tests (load about 20), so they are processor time of the process.

Change: `make capacity` measures look-ups, the table, rebuilds, frames, calls and sessions; docs/capacity-slopes.json is the committed copy and `bin/ wisteria-capacity page` renders the tables of docs/CAPACITY.md from it.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,12 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+# Measures slopes on this machine; docs/CAPACITY.md is rendered from the
+# committed copy docs/capacity-slopes.json. BENCH names files with the output of
+# `go test -bench` whose figures are added.
+capacity: build
+	./bin/wisteria-capacity measure --out out/capacity.json $(addprefix --bench ,$(BENCH))
+
 # Needs protoc. The generated code is committed, so a build does not run this.
 generate:
 	mkdir -p out
