Run a non-idempotent request at most once, and stop crashing ones

Cause: the owner kept no record, so a resend ran again; a lost owner was reported as connect-failed (not run) although the request may have run; a FrameTooLarge met while reading a reply passed for a refusal of the request; nothing was retried, recalled, cancelled or quarantined.

Ruled out: checking the document before the records (a changed document would report a request that ran as not run); forwarding only to a matching incarnation of the view (it lags; the owner itself decides); letting every dispatcher try a suspect (copies sent to all hosts crash one server each); counting refusals that never reached a server against the retry budget.

A not run after an unknown attempt is reported as unknown. dispatch.go asks the guard at the moment of dispatch, runs a suspect alone and avoids servers that refuse connections or drain. A retry starts on a proven connection like non-idempotent work. New code 307 (answer-not-kept). net/http's own log is switched off: it prints the first bytes of unsolicited answers.

A suspect that finds no idle server is refused, not run; the admission queue should wait for one.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -53,6 +53,11 @@
 	Body     []byte
 }
 
+// needsProof reports whether the request starts only on a proven connection:
+// one that must not run twice, and a retry, which may have no time left for
+// another silent connection.
+func (r Request) needsProof() bool { return !r.Idempotent || r.Retry }
+
 // Answer is the outcome of one request.
 type Answer struct {
 	Code        result.Code
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -85,11 +85,11 @@
 }
 
 // startRequest reserves the connection for a request. It fails for a request
-// that must not run twice if the connection is not proven.
-func (c *connection) startRequest(idempotent bool, now time.Time) bool {
+// that needs a proven connection on one that is not.
+func (c *connection) startRequest(needsProof bool, now time.Time) bool {
 	c.age(now)
-	if idempotent {
-		return c.fire(eventSend, now)
+	if needsProof {
+		return c.fire(eventSendOnce, now)
 	}
-	return c.fire(eventSendOnce, now)
+	return c.fire(eventSend, now)
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -17,7 +17,7 @@
 		if refused != nil {
 			return nil, refused
 		}
-		if !req.Idempotent && !s.proven(ctx, conn) {
+		if req.needsProof() && !s.proven(ctx, conn) {
 			if fresh {
 				return nil, result.Errorf(result.ConnectFailed, "a new connection to %s did not answer its probe", s.spec.Name)
 			}
@@ -30,7 +30,7 @@
 			s.giveBack(conn)
 			return nil, result.Errorf(result.DeadlineBefore, "deadline or cancellation before dispatch")
 		}
-		if conn.startRequest(req.Idempotent, now) {
+		if conn.startRequest(req.needsProof(), now) {
 			return conn, nil
 		}
 		// The process was paused after the probe.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/backend"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
@@ -53,6 +54,7 @@
 type dispatcher struct {
 	self   model.HostID
 	region model.Region
+	guard  *crashGuard
 
 	mu      sync.Mutex
 	view    *localstate.View
@@ -63,10 +65,12 @@
 	spec document.Server
 	conn *backend.Server
 	busy int
+	// alone is set while a suspect runs on the server or waits for it.
+	alone bool
 }
 
 func newDispatcher(self model.HostID, region model.Region) *dispatcher {
-	return &dispatcher{self: self, region: region, servers: make(map[model.ServerID]*boundServer)}
+	return &dispatcher{self: self, region: region, guard: newCrashGuard(), servers: make(map[model.ServerID]*boundServer)}
 }
 
 // update takes over and hands over backend servers according to the view.
@@ -98,9 +102,20 @@
 
 func (d *dispatcher) dispatch(ctx context.Context, req Request) Answer {
 	d.mu.Lock()
+	alone, refused := d.guard.admit(req, func() bool { return runsTrials(d.view, d.self, d.region, req) }, time.Now())
+	if refused != nil {
+		d.mu.Unlock()
+		return refusal(req, refused.Code, refused.Detail)
+	}
+	if alone {
+		defer d.guard.leave(req)
+	}
 	var chosen *boundServer
 	for _, s := range d.servers {
-		if s.spec.Service == req.Service && s.busy < s.spec.Slots && (chosen == nil || s.busy < chosen.busy) {
+		if s.spec.Service != req.Service || s.alone || alone && s.busy > 0 || !s.conn.Reachable(time.Now()) || s.conn.Draining() {
+			continue
+		}
+		if s.busy < s.spec.Slots && (chosen == nil || s.busy < chosen.busy) {
 			chosen = s
 		}
 	}
@@ -109,11 +124,13 @@
 		return refusal(req, result.NoServer, "no free slot")
 	}
 	chosen.busy++
+	chosen.alone = alone
 	service, _ := d.view.Document.Service(req.Service)
 	d.mu.Unlock()
 	defer func() {
 		d.mu.Lock()
 		chosen.busy--
+		chosen.alone = false
 		d.mu.Unlock()
 	}()
 	got := chosen.conn.Do(ctx, backend.Request{
@@ -122,6 +139,7 @@
 		Rank:        string(req.Rank),
 		ContentType: req.ContentType,
 		Idempotent:  req.Idempotent,
+		Retry:       req.Attempt > 0,
 		Deadline:    req.Deadline,
 		Body:        req.Body,
 	}, service.AnswerTimeout)
@@ -133,5 +151,6 @@
 		ContentType:   got.ContentType,
 		BackendStatus: got.Status,
 		Hops:          []string{string(chosen.spec.Name)},
+		ranAlone:      alone,
 	}
 }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -12,54 +12,90 @@
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
-// own handles a request as its owner.
+// requestState is what the daemon remembers of requests.
+type requestState struct {
+	owned   *ownerRecords
+	kept    *keptAnswers
+	budgets *retryBudgets
+	// onStep is set by tests only, before the daemon serves.
+	onStep func(requestStep, Request)
+}
+
+func newRequestState() *requestState {
+	return &requestState{
+		owned:   newOwnerRecords(),
+		kept:    newKeptAnswers(),
+		budgets: newRetryBudgets(newShareBudget),
+	}
+}
+
+// own handles a request that a caller sent to this host.
 func (d *Daemon) own(ctx context.Context, req Request) Answer {
 	view := d.watcher.Current()
-	if view == nil || view.Document == nil {
-		return refusal(req, result.NotReady, "no configuration yet")
+	if view == nil {
+		view = &localstate.View{}
 	}
-	if _, ok := view.Document.Service(req.Service); !ok {
-		return refusal(req, result.UnknownService, string(req.Service))
+	if req.Idempotent {
+		return d.handOver(ctx, req, view)
 	}
-	if _, ok := view.Document.Rank(req.Rank); !ok {
-		return refusal(req, result.UnknownRank, string(req.Rank))
+	token, _, err := model.ParseRequestID(req.ID)
+	if err != nil {
+		return refusal(req, result.OwnerRequired, err.Error())
 	}
-	if !req.Idempotent {
-		token, _, err := model.ParseRequestID(req.ID)
-		if err != nil {
-			return refusal(req, result.OwnerRequired, err.Error())
-		}
-		if token.Host != d.settings.Host.ID || token.Incarnation != d.incarnation {
-			return d.forwardToOwner(ctx, req, token, view)
-		}
+	if !d.isOwner(token) {
+		return d.forwardToOwner(ctx, req, token, view)
 	}
-	answer := refusal(req, result.NoServer, "no dispatcher for "+string(req.Service))
-	for _, region := range regionOrder(view, d.settings.Host.Region) {
-		for _, host := range dispatchers(view, req.Service, region) {
-			answer = d.passOn(ctx, req, host, wirepb.Stage_STAGE_DISPATCH)
-			if answer.Code.Class() != result.ClassNotRun {
-				return answer
-			}
-		}
+	return d.ownOnce(ctx, req, token, view)
+}
+
+func (d *Daemon) isOwner(token model.OwnerToken) bool {
+	return token.Host == d.settings.Host.ID && token.Incarnation == d.incarnation
+}
+
+// ownForwarded handles a request that another host received. It is never
+// forwarded again, so two hosts with different views cannot pass it around.
+func (d *Daemon) ownForwarded(ctx context.Context, req Request) Answer {
+	token, _, err := model.ParseRequestID(req.ID)
+	if err != nil || req.Idempotent || !d.isOwner(token) {
+		return refusal(req, result.OwnerGone, "another incarnation owned the request")
 	}
-	return answer
+	return d.own(ctx, req)
 }
 
+// forwardToOwner sends a non-idempotent request to the incarnation that its ID
+// names. Without an answer of the owner the request may have run, here or
+// through an earlier arrival elsewhere, so it is never reported as not run.
 func (d *Daemon) forwardToOwner(ctx context.Context, req Request, token model.OwnerToken, view *localstate.View) Answer {
-	host, ok := view.Host(token.Host)
-	if !ok || host.EntryIncarnation != token.Incarnation {
-		return Answer{RequestID: req.ID, Code: result.OwnerGone, Detail: "owner is gone"}
+	answer := refusal(req, result.OwnerGone, "owner is gone")
+	// A lower incarnation in the view than in the token means that the view
+	// lags; the owner itself decides.
+	if host, ok := view.Host(token.Host); ok && host.EntryIncarnation <= token.Incarnation && answersCalls(host) {
+		answer = d.callOwner(ctx, req, host)
+	}
+	switch answer.Code {
+	case result.OwnerGone, result.OwnerFailed:
+		if recalled, ok := d.recall(ctx, req, view); ok {
+			return asReplay(recalled)
+		}
 	}
-	return d.passOn(ctx, req, host, wirepb.Stage_STAGE_OWNER)
+	return answer
 }
 
-// passOn hands the request to one host, which may be this one.
-func (d *Daemon) passOn(ctx context.Context, req Request, host model.HostRecord, stage wirepb.Stage) Answer {
-	if host.Host == d.settings.Host.ID && stage == wirepb.Stage_STAGE_DISPATCH {
-		answer := d.dispatcher.dispatch(ctx, req)
-		answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
+func (d *Daemon) callOwner(ctx context.Context, req Request, host model.HostRecord) Answer {
+	answer, err := d.call(ctx, req, host, wirepb.Stage_STAGE_OWNER)
+	switch {
+	case err == nil:
 		return answer
+	case !time.Now().Before(req.Deadline):
+		return refusal(req, result.DeadlineAfter, err.Error())
+	default:
+		return refusal(req, result.OwnerFailed, err.Error())
 	}
+}
+
+// call sends the request to another host and checks that the reply is whole
+// and belongs to it.
+func (d *Daemon) call(ctx context.Context, req Request, host model.HostRecord, stage wirepb.Stage) (Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	env := &wirepb.Envelope{Body: &wirepb.Envelope_ForwardRequest{
@@ -67,21 +103,35 @@
 	}}
 	reply, err := d.peers.Call(ctx, host.PeerAddress, env)
 	if err != nil {
-		return d.callFailed(req, err)
+		return Answer{}, err
 	}
 	answer := answerFromWire(req, reply.GetForwardReply())
 	answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
+	return answer, nil
+}
+
+// passOn hands the request to one dispatcher, which may be this host.
+func (d *Daemon) passOn(ctx context.Context, req Request, host model.HostRecord) Answer {
+	if host.Host == d.settings.Host.ID {
+		return d.dispatchHere(ctx, req)
+	}
+	answer, err := d.call(ctx, req, host, wirepb.Stage_STAGE_DISPATCH)
+	if err != nil {
+		return callFailed(req, err)
+	}
 	return answer
 }
 
-func (d *Daemon) callFailed(req Request, err error) Answer {
-	var coded *result.Error
+// callFailed decides what a failed call to a dispatcher proves: nothing ran if
+// the request was not sent or if the peer refused its frame.
+func callFailed(req Request, err error) Answer {
+	var refused *result.Error
 	var lost *wire.CallError
 	switch {
 	case errors.As(err, &lost) && !lost.Sent:
 		return refusal(req, result.ConnectFailed, err.Error())
-	case errors.As(err, &coded):
-		return refusal(req, coded.Code, coded.Detail)
+	case lost == nil && errors.As(err, &refused):
+		return refusal(req, result.NotDispatcher, err.Error())
 	case !time.Now().Before(req.Deadline):
 		return refusal(req, result.DeadlineAfter, err.Error())
 	default:
@@ -89,43 +139,50 @@
 	}
 }
 
-// regionOrder returns the own region, then the others in document order.
-func regionOrder(view *localstate.View, own model.Region) []model.Region {
-	order := []model.Region{own}
-	for _, r := range view.Document.Regions {
-		if r.Name != own {
-			order = append(order, r.Name)
-		}
-	}
-	return order
+// dispatchHere runs the request on a backend server of this host.
+func (d *Daemon) dispatchHere(ctx context.Context, req Request) Answer {
+	answer := d.dispatcher.dispatch(ctx, req)
+	answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
+	d.step(stepDispatched, req)
+	d.afterRun(req, answer)
+	d.requests.kept.keep(req, answer, time.Now())
+	d.step(stepKept, req)
+	return answer
 }
 
 // Handle implements wire.Handler.
 func (d *Daemon) Handle(ctx context.Context, _ *wirepb.Hello, env *wirepb.Envelope, stream *wire.Stream) {
-	forward := env.GetForwardRequest()
-	if forward == nil {
-		_ = stream.Send(wire.FailureEnvelope(result.UnknownMessage, "entry hosts do not take this message"))
-		return
-	}
 	d.running.Add(1)
 	defer d.running.Done()
-	req := requestFromWire(forward, time.Now())
-	var answer Answer
-	if forward.Stage == wirepb.Stage_STAGE_OWNER {
-		answer = d.ownForwarded(ctx, req)
-	} else {
-		answer = d.dispatcher.dispatch(ctx, req)
-		answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
+	switch {
+	case env.GetForwardRequest() != nil:
+		answer := d.handleForward(ctx, env.GetForwardRequest(), stream)
+		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ForwardReply{ForwardReply: answerToWire(answer)}})
+	case env.GetRecallRequest() != nil:
+		_ = stream.Send(d.recallReply(env.GetRecallRequest().RequestId))
+	case env.GetSuspectNotice() != nil:
+		_ = stream.Send(d.noticeReply(env.GetSuspectNotice()))
+	default:
+		_ = stream.Send(wire.FailureEnvelope(result.UnknownMessage, "entry hosts do not take this message"))
 	}
-	_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ForwardReply{ForwardReply: answerToWire(answer)}})
 }
 
-// ownForwarded handles a request that another host received. It is never
-// forwarded again, so two hosts with different views cannot pass it around.
-func (d *Daemon) ownForwarded(ctx context.Context, req Request) Answer {
-	token, _, err := model.ParseRequestID(req.ID)
-	if err != nil || token.Host != d.settings.Host.ID || token.Incarnation != d.incarnation {
-		return Answer{RequestID: req.ID, Code: result.OwnerGone, Detail: "another incarnation owned the request"}
+func (d *Daemon) handleForward(ctx context.Context, forward *wirepb.ForwardRequest, stream *wire.Stream) Answer {
+	req := requestFromWire(forward, time.Now())
+	if !req.Idempotent {
+		ctx = context.WithoutCancel(ctx)
+	} else {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		go func() {
+			// The sender sends nothing more, so this returns when it gives up.
+			_, _ = stream.Receive()
+			cancel()
+		}()
 	}
-	return d.own(ctx, req)
+	if forward.Stage == wirepb.Stage_STAGE_OWNER {
+		return d.ownForwarded(ctx, req)
+	}
+	return d.dispatchHere(ctx, req)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -37,6 +37,9 @@
 	BackendStatus int
 	// Hops are the hosts and the backend server that handled the request.
 	Hops []string
+	// ranAlone says that the dispatcher kept other work off the server. It is
+	// not sent to other hosts.
+	ranAlone bool
 }
 
 func refusal(req Request, code result.Code, detail string) Answer {
@@ -96,6 +99,11 @@
 	if m == nil || m.RequestId != req.ID || m.BodyLength != uint64(len(m.Body)) {
 		return Answer{RequestID: req.ID, Code: result.AnswerTruncated, Detail: "reply is incomplete or of another request"}
 	}
+	switch class := result.Code(m.Code).Class(); class {
+	case result.ClassServed, result.ClassNotRun, result.ClassUnknown:
+	default:
+		return Answer{RequestID: req.ID, Code: result.AnswerTruncated, Detail: "reply has a code of class " + class.String()}
+	}
 	return Answer{
 		RequestID:     m.RequestId,
 		Code:          result.Code(m.Code),
--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -30,12 +32,16 @@
 	peers       *wire.Client
 	watcher     *localstate.Watcher
 	dispatcher  *dispatcher
+	requests    *requestState
 	state       atomic.Int32 // model.HostState
 	running     sync.WaitGroup
 }
 
 // New returns an entry daemon for the host of the settings.
 func New(s *settings.Settings) *Daemon {
+	// net/http logs the first bytes of an unsolicited answer, which may hold a
+	// body. It uses the standard logger, which nothing else here does.
+	log.SetOutput(io.Discard)
 	incarnation := model.NewIncarnation(time.Now())
 	identity := wire.Identity{
 		Environment: s.Host.Environment,
@@ -48,6 +54,7 @@
 		incarnation: incarnation,
 		peers:       wire.NewClient(identity, s.Limits.MaxFrameBytes),
 		dispatcher:  newDispatcher(s.Host.ID, s.Host.Region),
+		requests:    newRequestState(),
 	}
 	d.state.Store(int32(model.HostStarting))
 	d.watcher = localstate.NewWatcher(d.peers, s.Listen.Agent)
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -123,6 +123,30 @@
 	}, nil
 }
 
+// SendUntilKnown sends the call to the hosts of the look-up answer in turn,
+// under the same request ID, until one of them knows the outcome or every host
+// was asked. An error or an unknown outcome leads to a resend, which is safe
+// under the same ID.
+func (c *Caller) SendUntilKnown(ctx context.Context, hosts LookupAnswer, requestID string, call Call) (CallResult, error) {
+	err := errors.New("no entry host")
+	var got CallResult
+	for _, host := range hosts.Hosts {
+		got, err = c.Send(ctx, host.Address, requestID, hosts.HomeRegion, call)
+		if err == nil && known(got) {
+			return got, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return got, err
+}
+
+// known reports whether the answer says if the request ran.
+func known(got CallResult) bool {
+	return got.Class == "served" || got.Class == "not-run"
+}
+
 func callCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "call",
@@ -134,6 +158,7 @@
 			&cli.StringFlag{Name: "rank", Required: true},
 			&cli.StringFlag{Name: "unique", Required: true, Usage: "unique part of the request ID"},
 			&cli.BoolFlag{Name: "idempotent"},
+			&cli.BoolFlag{Name: "resend", Usage: "resend under the same ID while the outcome is unknown"},
 			&cli.DurationFlag{Name: "deadline", Value: 2 * time.Second},
 			&cli.StringFlag{Name: "body", Value: "hello"},
 			&cli.DurationFlag{Name: "wait", Value: 15 * time.Second, Usage: "how long to try the look-up"},
@@ -157,8 +182,10 @@
 	if err != nil {
 		return err
 	}
-	host := answer.Hosts[0]
-	got, err := caller.Send(ctx, host.Address, host.Owner+"."+call.Unique, answer.HomeRegion, call)
+	if !cmd.Bool("resend") {
+		answer.Hosts = answer.Hosts[:1]
+	}
+	got, err := caller.SendUntilKnown(ctx, answer, answer.Hosts[0].Owner+"."+call.Unique, call)
 	if err != nil {
 		return err
 	}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -73,6 +73,7 @@
 	AnswerTruncated Code = 304
 	TokenExpired    Code = 305
 	OwnerFailed     Code = 306
+	AnswerNotKept   Code = 307
 
 	UnknownMessage Code = 400
 	FrameTooLarge  Code = 401
