--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
@@ -46,7 +47,7 @@
 	}
 	if !d.lifecycle.begin() {
 		w.Header().Set("Connection", "close")
-		writeAnswer(w, refusal(req, result.Stopping, "the host is shutting down"))
+		writeAnswer(w, stoppingAnswer(req, wirepb.Stage_STAGE_OWNER))
 		return
 	}
 	defer d.lifecycle.end()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -10,38 +10,16 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/pkg/document"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
-	"github.com/wisteriacrank/wisteriacrank/pkg/rendezvous"
 	"github.com/wisteriacrank/wisteriacrank/pkg/slots"
 )
 
-// assignment maps the backend servers of a service and region to their
-// dispatchers. Leaving servers stay assigned, so that their runs can end
-// under the dispatcher that counts them.
-func assignment(view *localstate.View, service model.Service, region model.Region) map[model.ServerID]model.HostID {
-	var keys, members []string
-	for _, s := range view.Document.Servers {
-		if s.Service == service && s.Region == region {
-			keys = append(keys, string(s.Name))
-		}
-	}
-	for _, h := range view.Hosts {
-		if h.Region == region && h.State == model.HostReady {
-			members = append(members, string(h.Host))
-		}
-	}
-	assigned := make(map[model.ServerID]model.HostID, len(keys))
-	for server, host := range rendezvous.Assign(keys, members) {
-		assigned[model.ServerID(server)] = model.HostID(host)
-	}
-	return assigned
-}
-
 // dispatcher sends requests to the backend servers that this host is
 // responsible for. It is safe for concurrent use.
 type dispatcher struct {
 	self        model.HostID
 	region      model.Region
 	incarnation model.Incarnation
+	guard       *crashGuard
 	log         *events.Log
 	metrics     *metrics.Registry
 
@@ -55,6 +33,7 @@
 		self:        self,
 		region:      region,
 		incarnation: incarnation,
+		guard:       newCrashGuard(),
 		log:         log,
 		metrics:     registry,
 		schedulers:  make(map[model.Service]*scheduler),
@@ -134,6 +113,12 @@
 	return d.schedulers[service]
 }
 
+func (d *dispatcher) currentView() *localstate.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+
 // tick drives what depends on time alone: warming servers, expired grants and
 // expired requests.
 func (d *dispatcher) tick(now time.Time) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -10,6 +10,7 @@
 	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
 	"github.com/wisteriacrank/wisteriacrank/pkg/grant"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/quarantine"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
@@ -27,14 +28,21 @@
 		}
 		defer func() { s.finishMove(time.Now()) }()
 	}
-	answer := s.serve(ctx, req, holder)
+	alone, refused := d.guard.admit(req, func() bool { return runsTrials(d.currentView(), d.self, d.region, req) }, time.Now())
+	if refused != nil {
+		return refusal(req, refused.Code, refused.Detail)
+	}
+	if alone {
+		defer d.guard.leave(req)
+	}
+	answer := s.serve(ctx, req, holder, alone)
 	answer.Load = s.load()
 	return answer
 }
 
 // serve gets the request a slot and runs it, again after a preemption.
-func (s *scheduler) serve(ctx context.Context, req Request, holder model.HostID) Answer {
-	item := admission.Item{Rank: req.Rank, Deadline: req.Deadline}
+func (s *scheduler) serve(ctx context.Context, req Request, holder model.HostID, alone bool) Answer {
+	item := admission.Item{Rank: req.Rank, Deadline: req.Deadline, Alone: alone}
 	var waiter *pending
 	var r *run
 	var code result.Code
@@ -56,6 +64,11 @@
 			}
 		}
 		s.metrics.ObserveQueueTime(req.Service, req.Rank, time.Since(queued))
+		if !alone && s.guard.standing(req, time.Now()) != quarantine.Clear {
+			// The request became a suspect while it waited.
+			s.finish(time.Now(), r, result.NoCapacity)
+			return refusal(req, result.NoCapacity, "the request is suspected to crash servers")
+		}
 		answer, again := s.execute(ctx, req, r)
 		if again == nil {
 			return answer
@@ -97,6 +110,7 @@
 		Rank:        string(req.Rank),
 		ContentType: req.ContentType,
 		Idempotent:  req.Idempotent,
+		Retry:       req.Attempt > 0,
 		Deadline:    req.Deadline,
 		Body:        req.Body,
 	}, s.answerTimeout())
@@ -112,6 +126,7 @@
 		ContentType:   got.ContentType,
 		BackendStatus: got.Status,
 		Hops:          []string{string(r.server)},
+		ranAlone:      r.item.Alone,
 	}, again
 }
 
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -28,6 +28,7 @@
 // serializes access to the decision packages and is safe for concurrent use.
 type scheduler struct {
 	region  model.Region
+	guard   *crashGuard
 	log     *events.Log
 	metrics *metrics.Registry
 
@@ -80,6 +81,7 @@
 	now := time.Now()
 	return &scheduler{
 		region:       d.region,
+		guard:        d.guard,
 		log:          d.log,
 		metrics:      d.metrics,
 		service:      service,
--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -46,10 +48,14 @@
 	links       *links
 	balancer    *balancer
 	lifecycle   *lifecycle
+	requests    *requestState
 }
 
 // New returns an entry daemon for the host of the settings.
 func New(base daemon.Base) *Daemon {
+	// net/http logs the first bytes of an unsolicited answer, which may hold a
+	// body. It uses the standard logger, which nothing else here does.
+	log.SetOutput(io.Discard)
 	s := base.Settings
 	incarnation := model.NewIncarnation(time.Now())
 	identity := wire.Identity{
@@ -72,6 +78,7 @@
 		links:       newLinks(s.Host.Region, s.Limits.MaxBodyBytes),
 		balancer:    newBalancer(int64(incarnation)),
 		lifecycle:   newLifecycle(),
+		requests:    newRequestState(),
 	}
 	d.watcher.OnChange = d.onView
 	d.watcher.OnError = func(err error) {
--- a/internal/localstate/localstate.go
+++ b/internal/localstate/localstate.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,16 +26,33 @@
 	Latencies []*wirepb.RegionLatency
 	// Received is the local time at which the view arrived.
 	Received time.Time
+
+	derived sync.Map
+}
+
+// Derived returns a value that depends on nothing but the view, computing it
+// on first use. Requests need such values far more often than views change.
+func (v *View) Derived(key any, compute func() any) any {
+	if value, ok := v.derived.Load(key); ok {
+		return value
+	}
+	value, _ := v.derived.LoadOrStore(key, compute())
+	return value
 }
 
+type hostIndexKey struct{}
+
 // Host returns the record of a host.
 func (v *View) Host(id model.HostID) (model.HostRecord, bool) {
-	for _, h := range v.Hosts {
-		if h.Host == id {
-			return h, true
+	index := v.Derived(hostIndexKey{}, func() any {
+		byID := make(map[model.HostID]model.HostRecord, len(v.Hosts))
+		for _, h := range v.Hosts {
+			byID[h.Host] = h
 		}
-	}
-	return model.HostRecord{}, false
+		return byID
+	}).(map[model.HostID]model.HostRecord)
+	h, ok := index[id]
+	return h, ok
 }
 
 const (
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand"
+	"slices"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
@@ -52,6 +53,18 @@
 	return best
 }
 
+// Order returns up to limit distinct candidates, each picked from the rest.
+func (p *Picker) Order(candidates []model.HostID, limit int) []model.HostID {
+	rest := slices.Clone(candidates)
+	var order []model.HostID
+	for len(rest) > 0 && len(order) < limit {
+		id := p.Pick(rest)
+		order = append(order, id)
+		rest = slices.DeleteFunc(rest, func(other model.HostID) bool { return other == id })
+	}
+	return order
+}
+
 // score is the expected wait in units of a run time.
 func (p *Picker) score(id model.HostID) float64 {
 	d, ok := p.dispatchers[id]
