movecap: keep rising between two refused requests

Cause: a dispatcher sets its slots between two requests. That evaluation saw no use and no new refusal, took the region as idle and reset the limit to 0, so the limit never reached one request and moved traffic was refused for good.

Ruled out: too small a cap (a limit of 0 does not depend on it), and servers that shed (0.16% of the moved requests).

Change: a refusal counts as demand for a tenth of an interval, and a region is idle only a whole interval after the last refusal.

With the idle condition switched off, TestLimitRisesBetweenRefusals sees a limit of 0 after 10 intervals.

Conclusion: moved traffic is admitted.

--- a/pkg/movecap/limiter.go
+++ b/pkg/movecap/limiter.go
@@ -55,10 +55,10 @@
 
 	limit float64
 	use   int
-	// refused says that a request was refused since the last evaluation.
-	refused bool
-	peak    recentPeak
-	at      time.Time
+	// refusedAt is the time of the last refusal.
+	refusedAt time.Time
+	peak      recentPeak
+	at        time.Time
 }
 
 // New returns a limiter whose limit is 0. The cap is the share of the slots
@@ -82,11 +82,9 @@
 
 // Start admits a moved request or refuses it with result.MoveCapReached.
 func (l *Limiter) Start(now time.Time) result.Code {
-	if l.use+1 > l.whole() {
-		l.refused = true
-	}
 	l.evaluate(now)
 	if l.use+1 > l.whole() {
+		l.refusedAt = now
 		return result.MoveCapReached
 	}
 	l.use++
@@ -157,9 +155,9 @@
 	peak := l.recentUse(now)
 	headroom := max(1, l.step())
 	switch {
-	case l.refused || (l.use > 0 && l.limit < float64(peak)+headroom):
+	case l.pressed(now) || (l.use > 0 && l.limit < float64(peak)+headroom):
 		return eventPressed
-	case peak == 0 && l.use == 0:
+	case peak == 0 && now.Sub(l.refusedAt) >= l.interval:
 		return eventIdle
 	case l.limit > float64(peak)+headroom:
 		return eventReceding
@@ -168,12 +166,17 @@
 	}
 }
 
+// pressed reports whether a request was refused so recently that the time since
+// then counts as demand.
+func (l *Limiter) pressed(now time.Time) bool {
+	return now.Sub(l.refusedAt) <= time.Duration(burstShare*float64(l.interval))
+}
+
 func (l *Limiter) act(action string, now time.Time, elapsed time.Duration) {
 	ceiling := float64(l.recentUse(now)) + max(1, l.step())
 	switch action {
 	case actionRise:
 		l.limit = min(l.limit+l.rise(elapsed), ceiling, float64(l.slots))
-		l.refused = false
 	case actionLower:
 		l.limit = min(l.limit, ceiling)
 	case actionReset:
