--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -19,8 +19,9 @@
 	Shares bool
 	// Preempt cancels long runs for urgent work.
 	Preempt bool
-	// Hints uses what dispatchers report in their responses.
-	Hints bool
+	// RankChoice compares dispatchers by the outstanding requests of the same
+	// rank instead of all.
+	RankChoice bool
 	// Grants sends requests to other regions under capacity grants.
 	Grants bool
 	// MoveCap limits moved traffic.
@@ -47,7 +48,7 @@
 
 // Product returns the product's policy.
 func Product() Policy {
-	return Policy{Name: policyProduct, Shares: true, Preempt: true, Hints: true, Grants: true, MoveCap: true}
+	return Policy{Name: policyProduct, Shares: true, Preempt: true, RankChoice: true, Grants: true, MoveCap: true}
 }
 
 func (p Policy) newQueue(now time.Time, ranks []document.Rank) queue {
--- a/internal/bench/queue.go
+++ b/internal/bench/queue.go
@@ -21,6 +21,7 @@
 	ExpectedWait(now time.Time, rank model.Rank) time.Duration
 	Preempt(now time.Time, runs []admission.Run, stopping int) (admission.ItemID, bool)
 	Preempted(now time.Time, rank model.Rank, slotTime time.Duration)
+	Waiting(rank model.Rank) int
 	Len() int
 }
 
@@ -104,3 +105,6 @@
 
 // Len implements queue.
 func (f *fifo) Len() int { return len(f.items) }
+
+// Waiting implements queue. The queue does not tell ranks apart.
+func (f *fifo) Waiting(model.Rank) int { return len(f.items) }
--- a/pkg/admission/preempt.go
+++ b/pkg/admission/preempt.go
@@ -1,23 +1,21 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
-// WasteShare is the share of slot time that preempted runs may waste. The
-// design bounds all repeated work at 10% of the load; retries need the rest.
-const WasteShare = 0.05
-
-// wasteBurst is the slot time per slot that may be wasted at once.
-const wasteBurst = 200 * time.Millisecond
-
-// longRun is how many times longer than the waiting rank's mean run time the
-// next slot must be away before a run is preempted. Short waits cost less than
-// repeated work.
-const longRun = 0.25
+const (
+	// WasteShare is the share of slot time that preempted runs may waste. The
+	// design bounds repeated work at 10% of the load.
+	WasteShare = 0.08
+	// wasteBurst is the slot time per slot that may be wasted at once.
+	wasteBurst = 200 * time.Millisecond
+	// patience is the part of its rank's deadline that an item waits before it
+	// may preempt a run. Most items get a slot that becomes free before that.
+	patience = 0.1
+)
 
 // wasteBudget is a token bucket of slot time.
 type wasteBudget struct {
@@ -41,9 +39,10 @@
 	Started time.Time
 }
 
-// Preempt picks a run to cancel so that a waiting item of a more urgent rank
-// below its guaranteed share gets a slot. The dispatcher calls it when no slot
-// is free, cancels the run, and then calls Preempted and Requeue. It counts
+// Preempt picks a run to cancel so that an item of a more urgent rank below its
+// guaranteed share, which has waited for a while, gets a slot. The dispatcher
+// calls it when no slot is free and every few milliseconds while items wait,
+// cancels the run, and then calls Preempted and Requeue. It counts
 // runs whose cancellation is still in progress in stopping.
 func (q *Queue) Preempt(now time.Time, runs []Run, stopping int) (ItemID, bool) {
 	q.waste.advance(now, q.slots)
@@ -71,10 +70,10 @@
 // items waiting than slots are about to become free.
 func (q *Queue) urgentWaiting(now time.Time, stopping int) *rankQueue {
 	for _, r := range q.ranks {
-		if len(r.waiting)-r.alone <= 0 || r.usage.share(now, q.slots) >= r.spec.GuaranteedShare {
+		if !q.belowGuarantee(now, r) {
 			continue
 		}
-		stopping -= len(r.waiting) - r.alone
+		stopping -= r.impatient(now)
 		if stopping < 0 {
 			return r
 		}
@@ -92,9 +91,6 @@
 		if r == nil || r.spec.Priority <= urgent.spec.Priority || r.usage.share(now, q.slots) <= r.spec.GuaranteedShare {
 			continue
 		}
-		if q.nextFree(r) < time.Duration(longRun*float64(urgent.runTime.mean)) {
-			continue
-		}
 		if !found || run.Started.After(best.Started) {
 			best, found = run, true
 		}
@@ -102,11 +98,17 @@
 	return best, found
 }
 
-// nextFree estimates when one of a rank's runs ends. Before the first run of
-// a rank has ended, its runs are taken as long.
-func (q *Queue) nextFree(r *rankQueue) time.Duration {
-	if r.runTime.mean == 0 {
-		return math.MaxInt64
+// impatient counts the items that have waited long enough to preempt a run.
+func (r *rankQueue) impatient(now time.Time) int {
+	bound := time.Duration(patience * float64(r.spec.Deadline))
+	count := 0
+	for _, w := range r.waiting {
+		if now.Sub(w.since) < bound {
+			break
+		}
+		if !w.Alone {
+			count++
+		}
 	}
-	return r.runTime.mean / time.Duration(max(1, r.usage.running))
+	return count
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -44,16 +44,23 @@
 	// earliest is not later than any queued deadline; it saves scans.
 	earliest time.Time
 	waste    wasteBudget
+	reserve  reserve
 }
 
 type rankQueue struct {
 	spec    document.Rank
-	waiting []Item
+	waiting []waiting
 	alone   int
 	usage   usage
 	runTime runTime
 }
 
+// waiting is a queued item.
+type waiting struct {
+	Item
+	since time.Time
+}
+
 // New returns an empty queue. The ranks' order does not matter.
 func New(now time.Time, ranks []document.Rank, slots int) *Queue {
 	q := &Queue{
@@ -97,10 +104,9 @@
 }
 
 func (q *Queue) takeAll(r *rankQueue) []Item {
-	items := r.waiting
-	r.waiting, r.alone = nil, 0
-	for _, item := range items {
-		delete(q.rankOf, item.ID)
+	items := make([]Item, 0, len(r.waiting))
+	for len(r.waiting) > 0 {
+		items = append(items, q.take(r, 0))
 	}
 	return items
 }
@@ -119,7 +125,7 @@
 	case now.Add(q.ExpectedWait(now, item.Rank) + r.runTime.mean).After(item.Deadline):
 		return result.WouldMissDeadline
 	}
-	r.waiting = append(r.waiting, item)
+	r.waiting = append(r.waiting, waiting{item, now})
 	q.added(r, item)
 	return result.Served
 }
@@ -132,7 +138,7 @@
 	if r == nil || !now.Before(item.Deadline) {
 		return false
 	}
-	r.waiting = slices.Insert(r.waiting, 0, item)
+	r.waiting = slices.Insert(r.waiting, 0, waiting{item, now})
 	q.added(r, item)
 	return true
 }
@@ -154,13 +160,13 @@
 	if r == nil {
 		return false
 	}
-	at := slices.IndexFunc(r.waiting, func(i Item) bool { return i.ID == id })
+	at := slices.IndexFunc(r.waiting, func(w waiting) bool { return w.ID == id })
 	q.take(r, at)
 	return true
 }
 
 func (q *Queue) take(r *rankQueue, at int) Item {
-	item := r.waiting[at]
+	item := r.waiting[at].Item
 	r.waiting = slices.Delete(r.waiting, at, at+1)
 	delete(q.rankOf, item.ID)
 	if item.Alone {
