--- a/pkg/movecap/limiter.go
+++ b/pkg/movecap/limiter.go
@@ -55,8 +55,7 @@
 
 	limit float64
 	use   int
-	// refusedAt is the time of the latest refusal. Refused callers come back
-	// after a while, so a refusal counts as pressure for one interval.
+	// refusedAt is the time of the last refusal.
 	refusedAt time.Time
 	peak      recentPeak
 	at        time.Time
@@ -83,11 +82,9 @@
 
 // Start admits a moved request or refuses it with result.MoveCapReached.
 func (l *Limiter) Start(now time.Time) result.Code {
-	if l.use+1 > l.whole() {
-		l.refusedAt = now
-	}
 	l.evaluate(now)
 	if l.use+1 > l.whole() {
+		l.refusedAt = now
 		return result.MoveCapReached
 	}
 	l.use++
@@ -158,9 +155,9 @@
 	peak := l.recentUse(now)
 	headroom := max(1, l.step())
 	switch {
-	case l.isPressed(now) || (l.use > 0 && l.limit < float64(peak)+headroom):
+	case l.pressed(now) || (l.use > 0 && l.limit < float64(peak)+headroom):
 		return eventPressed
-	case peak == 0 && l.use == 0:
+	case peak == 0 && now.Sub(l.refusedAt) >= l.interval:
 		return eventIdle
 	case l.limit > float64(peak)+headroom:
 		return eventReceding
@@ -169,8 +166,10 @@
 	}
 }
 
-func (l *Limiter) isPressed(now time.Time) bool {
-	return !l.refusedAt.IsZero() && now.Sub(l.refusedAt) < l.interval
+// pressed reports whether a request was refused so recently that the time since
+// then counts as demand.
+func (l *Limiter) pressed(now time.Time) bool {
+	return now.Sub(l.refusedAt) <= time.Duration(burstShare*float64(l.interval))
 }
 
 func (l *Limiter) act(action string, now time.Time, elapsed time.Duration) {
