agent: probe and feed on quiet sessions with joined segments

Cause: each probe opened a session of its own and paid for ten or more TCP segments: greeting, its answer, opening and accepting frame of the stream, header and body of both messages, and both stream ends, each with a segment and often an acknowledgement. The hosts in a feed tree also kept up to eight sessions that exchange keepalives each second.

Ruled out: a longer probe interval (detection of a dead host within 5 s depends on it); kept sessions to fixed targets of each failure domain (with keepalives about 200 B/s per session and side, and the random probe still needs sessions of its own); smaller probe messages (134 bytes each, a sixth of the probe after this change); UDP (the processes speak yamux).

Change: wire joins the header and body of a short frame, and the frames that open and accept a stream with the call and the reply. A quiet client sends its greeting with the first call, and neither side of its sessions sends keepalives; a failed call ends the session. The agent probes, pulls and feeds through quiet clients.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -53,8 +54,12 @@
 	platform platform.Platform
 	identity wire.Identity
 	// feed keeps its sessions: the children in the feed tree rarely change.
-	feed  *wire.Client
-	calls chan struct{}
+	feed *wire.Client
+	// connect opens connections to peers. It is set before serve.
+	connect func(address string) (net.Conn, error)
+	calls   chan struct{}
+	// probesStarted counts direct probes.
+	probesStarted atomic.Int64
 
 	mu       sync.Mutex
 	members  *membership.Members
@@ -103,11 +108,12 @@
 		Host:        s.Host.ID,
 		Incarnation: incarnation,
 	}
-	return &Agent{
+	a := &Agent{
 		settings: s,
 		platform: p,
 		identity: identity,
-		feed:     wire.NewClient(identity, s.Limits.MaxFrameBytes),
+		feed:     wire.NewQuietClient(identity, s.Limits.MaxFrameBytes),
+		connect:  wire.Dial,
 		calls:    make(chan struct{}, maxCalls),
 		members:  membership.New(self, membership.DefaultConfig(), now, rng),
 		replica:  configreplica.New(self, configreplica.DefaultConfig(), rng),
@@ -117,6 +123,8 @@
 		state:    &wirepb.LocalState{},
 		changed:  make(chan struct{}),
 	}
+	a.feed.ConnectWith(a.open)
+	return a
 }
 
 // Run serves until ctx ends, then leaves gracefully.
@@ -138,7 +146,7 @@
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error {
-		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, nil).Serve(serving, peers)
+		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, nil).Serve(serving, countingListener{peers, a})
 	})
 	group.Go(func() error {
 		stop := context.AfterFunc(serving, func() { _ = api.Close() })
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -33,6 +33,8 @@
 	agents []*Agent
 	stops  []context.CancelFunc
 	client *platform.Client
+	// prepare may change an agent and its listener before it serves.
+	prepare func(a *Agent, peers net.Listener) net.Listener
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -66,6 +68,9 @@
 	}
 	address := listeners[0].Addr().String()
 	a := New(daemon.Base{Settings: hostSettings(len(f.agents), address, f.seeds)}, platform.NewClient(f.url))
+	if f.prepare != nil {
+		listeners[0] = f.prepare(a, listeners[0])
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -71,7 +71,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	client := wire.NewClient(a.identity, a.settings.Limits.MaxFrameBytes)
+	client := wire.NewQuietClient(a.identity, a.settings.Limits.MaxFrameBytes)
+	client.ConnectWith(a.open)
 	defer client.Close()
 	answer, err := client.Call(ctx, address, env)
 	if err != nil {
@@ -146,6 +147,7 @@
 }
 
 func (a *Agent) sendProbe(ctx context.Context, p membership.SendProbe) {
+	a.probesStarted.Add(1)
 	err := a.probe(ctx, p.To.AgentAddress, probeTimeout, p.Message, func(now time.Time, m membership.Message) []membership.Action {
 		return a.members.ProbeAnswered(now, p.Number, m)
 	})
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -38,6 +38,7 @@
 type Client struct {
 	self     Identity
 	maxFrame int
+	quiet    bool
 	dials    singleflight.Group
 
 	// connect opens the connection under a session.
@@ -54,12 +55,27 @@
 		self:     self,
 		maxFrame: maxFrameBytes,
 		sessions: make(map[string]*yamux.Session),
-		connect: func(address string) (net.Conn, error) {
-			return net.DialTimeout("tcp", address, dialTimeout)
-		},
+		connect:  Dial,
 	}
 }
 
+// NewQuietClient returns a client whose idle sessions cost no traffic: the
+// greeting goes out with the first call, and there are no keepalives. A silent
+// peer is noticed only by a call, whose failure ends the session; calls must
+// be answered within the 1.9 s of a greeting.
+func NewQuietClient(self Identity, maxFrameBytes int) *Client {
+	c := NewClient(self, maxFrameBytes)
+	c.quiet = true
+	return c
+}
+
+// ConnectWith replaces how connections are opened, to count or observe them.
+// It is called before the first call.
+func (c *Client) ConnectWith(connect func(address string) (net.Conn, error)) { c.connect = connect }
+
+// Dial opens a connection as a client does by default.
+func Dial(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) }
+
 // Call sends one envelope and waits for one reply. A reply that is a Failure
 // is returned as *result.Error; every other error is a *CallError.
 func (c *Client) Call(ctx context.Context, address string, env *wirepb.Envelope) (*wirepb.Envelope, error) {
@@ -70,6 +86,7 @@
 	defer stream.Close()
 	reply, err := stream.Receive()
 	if err != nil {
+		c.dropQuiet(address, stream)
 		return nil, &CallError{Sent: true, Err: err}
 	}
 	if failure := reply.GetFailure(); failure != nil {
@@ -154,7 +171,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	session, err := openSession(conn, c.self)
+	open := openSession
+	if c.quiet {
+		open = openQuietSession
+	}
+	session, err := open(conn, c.self)
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("open session to %s: %w", address, err)
@@ -176,6 +197,14 @@
 	return !c.closed
 }
 
+// dropQuiet ends a quiet session on which a call failed: nothing else would
+// show that the peer is silent.
+func (c *Client) dropQuiet(address string, stream *Stream) {
+	if c.quiet {
+		c.drop(address, stream.conn.Session())
+	}
+}
+
 func (c *Client) drop(address string, session *yamux.Session) {
 	c.mu.Lock()
 	if c.sessions[address] == session {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -55,6 +55,14 @@
 	return cfg
 }
 
+// quietConfig is that of sessions without keepalives. TCP keepalive ends those
+// of a lost peer.
+func quietConfig() *yamux.Config {
+	cfg := yamuxConfig()
+	cfg.EnableKeepAlive = false
+	return cfg
+}
+
 // openSession greets the listener and starts the client side of a session.
 func openSession(conn net.Conn, self Identity) (*yamux.Session, error) {
 	if err := conn.SetDeadline(time.Now().Add(greetingTimeout)); err != nil {
@@ -63,20 +71,37 @@
 	if err := WriteFrame(conn, self.hello()); err != nil {
 		return nil, err
 	}
+	if err := readGreetingReply(conn); err != nil {
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, fmt.Errorf("clear greeting deadline: %w", err)
+	}
+	return yamux.Client(&gatherConn{Conn: conn}, yamuxConfig())
+}
+
+// openQuietSession starts a session whose greeting goes out with its first
+// call.
+func openQuietSession(conn net.Conn, self Identity) (*yamux.Session, error) {
+	quiet, err := greetQuietly(conn, self)
+	if err != nil {
+		return nil, err
+	}
+	return yamux.Client(quiet, quietConfig())
+}
+
+func readGreetingReply(conn net.Conn) error {
 	reply, err := ReadFrame(conn, maxGreetingBytes)
 	if err != nil {
-		return nil, fmt.Errorf("greeting: %w", err)
+		return fmt.Errorf("greeting: %w", err)
 	}
 	if failure := reply.GetFailure(); failure != nil {
-		return nil, &result.Error{Code: result.Code(failure.Code), Detail: failure.Detail}
+		return &result.Error{Code: result.Code(failure.Code), Detail: failure.Detail}
 	}
 	if reply.GetHelloReply() == nil {
-		return nil, result.Errorf(result.BadGreeting, "peer answered the greeting with another message")
+		return result.Errorf(result.BadGreeting, "peer answered the greeting with another message")
 	}
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return nil, fmt.Errorf("clear greeting deadline: %w", err)
-	}
-	return yamux.Client(conn, yamuxConfig())
+	return nil
 }
 
 // acceptSession checks the dialer's greeting and starts the server side of a
@@ -97,13 +122,22 @@
 		Host:        string(self.Host),
 		Incarnation: uint64(self.Incarnation),
 	}}}
-	if err := WriteFrame(conn, reply); err != nil {
+	config := yamuxConfig()
+	gathered := &gatherConn{Conn: conn}
+	if hello.Quiet {
+		config = quietConfig()
+		gathered.quiet = true
+		gathered.held, err = encodeFrame(reply)
+	} else {
+		err = WriteFrame(conn, reply)
+	}
+	if err != nil {
 		return nil, nil, err
 	}
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return nil, nil, fmt.Errorf("clear greeting deadline: %w", err)
 	}
-	session, err := yamux.Server(conn, yamuxConfig())
+	session, err := yamux.Server(gathered, config)
 	return session, hello, err
 }
 
