agent: pass on only changed measurements, log events and count calls

Cause: the poller of a region sent all latency measurements on each change above 10% and every 10 s. The agent wrote no events and no counters.

Ruled out: a history of whole lists as bases (memory times versions; a version per entry answers any base); the age of each measurement in each message (one number for all that are taken continuously, and an age only for stopped ones); subtrees without names (views that differ would miss hosts); paging of the whole state (1.4 MB fits in a frame).

Change: a push carries what changed since the version before in columns, with the digest of the result. A host without the base, or with another result, pulls what changed since its version and then everything. One read passes on at most 256 changes per 5 s, the greatest first; a read with more than 16 times that is passed on whole at most once per hour. More than 40,000 measurements are read at 8,000/s, so 160,000 every 20 s. The tree has fan-out 3, because an inner host sends each change that often. A host that already pulled a version still passes a push on. The agent emits the events of configuration, members, store and refused input, and counts probes, pushes, pulls, bytes, operations on the store and invalid input.

Conclusion: measurements at the design size fit the control traffic of a node except for the one transfer per start.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,6 +69,10 @@
 	inForce  map[model.HostID]heardGeneration
 	leaving  bool
 	lastTick time.Time
+	outage   outage
+	observed observedHosts
+	// observedGeneration was last logged as in force.
+	observedGeneration model.Generation
 	// fedMembers is the membership version that the replica knows.
 	fedMembers uint64
 	// seen is the state of the decision packages at the last publication.
@@ -117,6 +121,7 @@
 		calls:    make(chan struct{}, maxCalls),
 		members:  membership.New(self, membership.DefaultConfig(), now, rng),
 		replica:  configreplica.New(self, configreplica.DefaultConfig(), rng),
+		shared:   sharedState{latencies: newLatencyTable()},
 		local:    make(localDaemons),
 		inForce:  make(map[model.HostID]heardGeneration),
 		lastTick: now,
@@ -146,7 +151,7 @@
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error {
-		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, nil).Serve(serving, countingListener{peers, a})
+		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, a).Serve(serving, countingListener{peers, a})
 	})
 	group.Go(func() error {
 		stop := context.AfterFunc(serving, func() { _ = api.Close() })
@@ -209,6 +214,8 @@
 	out.members = a.members.Tick(now)
 	a.takeMembers()
 	out.replica = a.replica.Tick(now)
+	// A changed membership can make a pulled configuration usable.
+	a.observeConfig(now, fromPull, "")
 	a.publish(now)
 	return out
 }
@@ -219,6 +226,7 @@
 		return
 	}
 	a.fedMembers = a.members.Version()
+	a.observeMembers()
 	a.replica.SetMembers(a.members.Live())
 	maps.DeleteFunc(a.inForce, func(host model.HostID, _ heardGeneration) bool {
 		_, known := a.members.Record(host)
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -29,10 +29,10 @@
 	case *wirepb.Envelope_StatusRequest:
 		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_StatusReply{StatusReply: a.entryStatus(time.Now())}})
 	case *wirepb.Envelope_SharedState:
-		a.takeShared(ctx, body.SharedState)
+		a.takeSharedPush(ctx, model.HostID(peer.Host), body.SharedState)
 		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_SharedStateReply{SharedStateReply: &wirepb.SharedStateReply{}}})
 	case *wirepb.Envelope_SharedStatePull:
-		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_SharedState{SharedState: a.sharedToWire()}})
+		_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_SharedState{SharedState: a.sharedSince(body.SharedStatePull.HaveVersion)}})
 	}
 }
 
@@ -83,6 +83,7 @@
 	defer a.mu.Unlock()
 	now := time.Now()
 	applied, actions := a.replica.ReceivePush(now, from, deltaFromWire(push), hostsFromWire(push.Subtree))
+	a.observeConfig(now, fromPush, from)
 	a.publish(now)
 	a.perform(ctx, outbox{replica: actions})
 	return &wirepb.ConfigPushReply{Applied: applied, Generation: uint64(a.replica.Advertised())}
--- /dev/null
+++ b/internal/agent/latencies_test.go
@@ -0,0 +1,208 @@
+package agent
+
+import (
+	"fmt"
+	"maps"
+	"math/rand"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/platform"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/membership"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+// measuredBlocks is a platform whose measurements change.
+type measuredBlocks struct {
+	rng  *rand.Rand
+	list []platform.Latency
+}
+
+func newMeasuredBlocks(n int) *measuredBlocks {
+	m := &measuredBlocks{rng: rand.New(rand.NewSource(1))}
+	for i := range n {
+		block := fmt.Sprintf("10.%d.%d.%d/28", i>>12&255, i>>4&255, i<<4&255)
+		m.list = append(m.list, platform.Latency{Block: block, Region: fmt.Sprintf("region-%d", i%25), Millis: 10 + m.rng.Float64()*100})
+	}
+	return m
+}
+
+// read returns measurements of which one in a hundred changed by half and all
+// others by less than is passed on.
+func (m *measuredBlocks) read(now time.Time) pollRead {
+	for i := range m.list {
+		m.list[i].Measured = now.Add(-time.Duration(i%5) * time.Second)
+		if m.rng.Intn(100) == 0 {
+			m.list[i].Millis *= []float64{0.5, 1.5}[m.rng.Intn(2)]
+		}
+	}
+	return pollRead{measured: true, latencies: m.list}
+}
+
+// sharedRegion is the poller of a region and one other agent of it.
+func sharedRegion(now time.Time, hosts int) (poller, other *Agent) {
+	poller = newAgent(hostSettings(0, "127.0.0.1:1", nil), nil, now)
+	other = newAgent(hostSettings(1, "127.0.0.1:1", nil), nil, now)
+	var records []model.HostRecord
+	for i := range hosts {
+		r := other.members.Self()
+		r.Host = model.HostID(fmt.Sprintf("host-%d", i))
+		records = append(records, r)
+	}
+	poller.members.Received(now, membership.Message{From: other.members.Self(), Records: records})
+	return poller, other
+}
+
+// equalTables compares all but the versions of the entries.
+func equalTables(a, b *latencyTable) bool {
+	return maps.EqualFunc(a.entries, b.entries, func(x, y latencyEntry) bool {
+		return x.tenths == y.tenths && x.stopped.IsZero() == y.stopped.IsZero()
+	})
+}
+
+// Guards against measurements that cost a host more than its control traffic
+// at the design size. The poller sends the most: its pushes name the most
+// hosts. The first read is a transfer of its own.
+func TestMeasurementsStayUnderTheControlLimit(t *testing.T) {
+	const (
+		hosts   = 250
+		reads   = 12
+		allowed = 5000.0
+		// otherControl is sent for probes, see TestProbesStayUnderTheControlLimit.
+		otherControl = 2000.0
+		// pushBytes estimates the frames and headers of a push besides its message.
+		pushBytes = 300
+	)
+	for _, blocks := range []int{200, 10_000, 160_000} {
+		t.Run(fmt.Sprintf("blocks=%d", blocks), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			poller, other := sharedRegion(now, hosts)
+			platform := newMeasuredBlocks(blocks)
+			poller.takePolled(now, platform.read(now))
+			whole := poller.sharedSince(0)
+			if !other.takeShared(whole) {
+				t.Fatal("the whole state was not taken")
+			}
+			interval := readInterval(blocks)
+			sent := 0
+			for range reads {
+				now = now.Add(interval)
+				for i, push := range poller.takePolled(now, platform.read(now)).shared {
+					state := poller.sharedSince(push.base)
+					state.Subtree = hostsToWire(push.subtree)
+					sent += proto.Size(state) + pushBytes
+					if i == 0 && !other.takeShared(state) {
+						t.Fatal("a difference to the version held was not taken")
+					}
+				}
+			}
+			perSecond := float64(sent) / (reads * interval).Seconds()
+			t.Logf("whole state %d bytes, then %.0f B/s sent by the poller", proto.Size(whole), perSecond)
+			if perSecond > allowed-otherControl {
+				t.Errorf("%.0f B/s, want at most %.0f", perSecond, allowed-otherControl)
+			}
+			if !equalTables(poller.shared.latencies, other.shared.latencies) || other.shared.latencies.digest != poller.shared.latencies.digest {
+				t.Error("the other host holds other measurements")
+			}
+		})
+	}
+}
+
+// Guards against a difference that is applied to other measurements than it
+// was made from: the digest refuses it, and the whole state repairs.
+func TestDifferenceToOtherMeasurementsIsRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	poller, other := sharedRegion(now, 2)
+	measured := newMeasuredBlocks(200)
+	poller.takePolled(now, measured.read(now))
+	other.takeShared(poller.sharedSince(0))
+	for key := range other.shared.latencies.entries {
+		other.shared.latencies.remove(1, key)
+		break
+	}
+	base := poller.shared.version
+	poller.takePolled(now.Add(latencyInterval), measured.read(now.Add(latencyInterval)))
+	if other.takeShared(poller.sharedSince(base)) {
+		t.Error("a difference to other measurements was taken")
+	}
+	if !other.takeShared(poller.sharedSince(0)) || !equalTables(poller.shared.latencies, other.shared.latencies) {
+		t.Error("the whole state did not repair the measurements")
+	}
+}
+
+// Guards against measurements that look fresh although the platform stopped
+// taking them, alone or all at once, and against removed ones that stay.
+func TestStoppedAndRemovedMeasurements(t *testing.T) {
+	now := time.Unix(1000, 0)
+	poller, other := sharedRegion(now, 2)
+	list := newMeasuredBlocks(3).read(now).latencies
+	give := func(measured ...platform.Latency) map[string]int64 {
+		base := poller.shared.version
+		poller.takePolled(now, pollRead{measured: true, latencies: measured})
+		state := poller.shared.latencies.since(now, base)
+		state.Version = poller.shared.version
+		if !other.takeShared(state) {
+			t.Fatal("difference not taken")
+		}
+		ages := make(map[string]int64)
+		for _, l := range other.shared.latencies.measurements(time.Now()) {
+			ages[l.Block] = l.AgeMillis / 1000
+		}
+		return ages
+	}
+	give(list...)
+	now = now.Add(time.Minute)
+	list[0].Measured, list[1].Measured = now, now
+	ages := give(list...)
+	if ages[list[0].Block] > 5 || ages[list[2].Block] < 59 {
+		t.Errorf("ages %v s, want the third measurement alone at 62 s", ages)
+	}
+	now = now.Add(time.Minute)
+	if ages = give(list...); ages[list[0].Block] < 59 {
+		t.Errorf("ages %v s after all measurements stopped, want at least 60 s", ages)
+	}
+	now = now.Add(latencyInterval)
+	if ages = give(list[:1]...); len(ages) != 1 {
+		t.Errorf("%d measurements after two were removed, want 1", len(ages))
+	}
+}
+
+// Guards against a message whose columns do not fit and that would stop the
+// agent.
+func FuzzUnpackLatencies(f *testing.F) {
+	table := newLatencyTable()
+	table.take(1, table.compare(time.Unix(1000, 0), newMeasuredBlocks(3).read(time.Unix(1000, 0)).latencies))
+	seed, err := proto.Marshal(table.since(time.Unix(1000, 0), 0))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, message []byte) {
+		var state wirepb.SharedState
+		if proto.Unmarshal(message, &state) == nil {
+			newLatencyTable().apply(time.Unix(1000, 0), &state)
+		}
+	})
+}
+
+// BenchmarkMeasurements measures the work per read at the design size.
+func BenchmarkMeasurements(b *testing.B) {
+	now := time.Unix(1000, 0)
+	measured := newMeasuredBlocks(160_000)
+	table := newLatencyTable()
+	read := measured.read(now).latencies
+	table.take(1, table.compare(now, read))
+	b.Run("poller", func(b *testing.B) {
+		for b.Loop() {
+			table.compare(now, read)
+		}
+	})
+	b.Run("local daemons", func(b *testing.B) {
+		for b.Loop() {
+			table.measurements(now)
+		}
+	})
+}
--- a/internal/agent/local.go
+++ b/internal/agent/local.go
@@ -124,7 +124,7 @@
 	a.seen = seen
 	state := &wirepb.LocalState{
 		LeavingServers: a.shared.leaving,
-		Latencies:      a.shared.aged(now),
+		Latencies:      a.shared.latencies.measurements(now),
 	}
 	if seen.generation > 0 {
 		current := a.replica.Current()
--- /dev/null
+++ b/internal/agent/observe.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/platform"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// Counters of operations on the store, each with its repetitions, and of
+// refused input.
+const (
+	counterStoreCalls    = "store_operations"
+	counterStoreFailures = "store_operations_failed"
+	counterInvalidInput  = "invalid_input"
+)
+
+// hostListStaleAfter is how long the host list may not be read before that is
+// logged. Leaving servers must get no new work after 3 s.
+const hostListStaleAfter = 3 * time.Second
+
+// outage is what is known of the reachability of the store. The agent's mutex
+// guards it.
+type outage struct {
+	since time.Time
+	// hostListRead is the last read, or the first failure if there was none.
+	hostListRead time.Time
+}
+
+// storeCall counts and logs the outcome of a call to the store and returns its
+// error. Refusals are answers of a store that works.
+func (a *Agent) storeCall(err error) error {
+	a.count(counterStoreCalls, 1)
+	if errors.Is(err, context.Canceled) {
+		return err
+	}
+	now := time.Now()
+	failed := err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict)
+	a.mu.Lock()
+	since := a.outage.since
+	switch {
+	case !failed:
+		a.outage.since = time.Time{}
+	case since.IsZero():
+		since = now
+		a.outage.since = now
+	}
+	a.mu.Unlock()
+	switch {
+	case failed:
+		a.count(counterStoreFailures, 1)
+		a.log.Emit(events.StoreCallFailed, events.Reason(err), events.Elapsed(now.Sub(since)))
+	case !since.IsZero():
+		a.log.Emit(events.StoreReached, events.Elapsed(now.Sub(since)))
+	}
+	return err
+}
+
+// hostListRead logs a host list that cannot be read for a while.
+func (a *Agent) hostListRead(now time.Time, err error) {
+	a.mu.Lock()
+	last := a.outage.hostListRead
+	if err == nil || last.IsZero() {
+		a.outage.hostListRead = now
+	}
+	a.mu.Unlock()
+	if age := now.Sub(last); err != nil && !last.IsZero() && age > hostListStaleAfter {
+		a.log.Emit(events.HostListStale, events.Elapsed(age))
+	}
+}
+
+// observedHosts are the records that were last logged.
+type observedHosts map[model.HostID]model.HostRecord
+
+// observeMembers logs the differences to the records that were last logged.
+// It needs the lock.
+func (a *Agent) observeMembers() {
+	records := a.members.Records()
+	seen := make(observedHosts, len(records))
+	for _, r := range records {
+		a.observeHost(a.observed[r.Host], r)
+		seen[r.Host] = r
+	}
+	a.observed = seen
+}
+
+func (a *Agent) observeHost(old, r model.HostRecord) {
+	host, region := events.Host(r.Host), events.Region(r.Region)
+	if r.State == old.State && r.Incarnation == old.Incarnation {
+		return
+	}
+	switch {
+	case r.State == model.HostSuspect:
+		a.log.Emit(events.HostSuspected, host, region)
+	case r.State == model.HostDead:
+		a.log.Emit(events.HostDead, host, region)
+	default:
+		if old.State == model.HostSuspect && old.Incarnation == r.Incarnation {
+			a.log.Emit(events.SuspicionRefuted, host, events.Incarnation(r.Incarnation))
+		}
+		a.log.Emit(events.HostStateChanged, host, region, events.State(r.State), events.Incarnation(r.Incarnation))
+	}
+}
+
+// source is how a generation reached this host.
+type source int
+
+const (
+	fromStore source = iota
+	fromPush
+	fromPull
+)
+
+// observeConfig logs a generation that came in force since the last call. It
+// needs the lock.
+func (a *Agent) observeConfig(now time.Time, from source, peer model.HostID) {
+	g := a.replica.Advertised()
+	if g <= a.observedGeneration {
+		return
+	}
+	first := a.observedGeneration == 0
+	a.observedGeneration = g
+	accepted := time.UnixMilli(a.replica.Current().Meta.AcceptedUnixMillis)
+	a.log.Emit(events.ConfigInForce, events.Environment(a.settings.Host.Environment), events.Generation(g), events.Elapsed(now.Sub(accepted)))
+	switch {
+	case from == fromPull && first:
+		a.log.Emit(events.ConfigFromPeers, events.Generation(g), events.Count(a.replica.Heard()))
+	case from == fromPull:
+		a.log.Emit(events.ConfigRepaired, events.Generation(g), events.Peer(string(peer)))
+	}
+}
+
+// refuseConfig logs a generation that cannot be used.
+func (a *Agent) refuseConfig(g uint64, err error) {
+	a.log.Emit(events.ConfigRefused, events.Environment(a.settings.Host.Environment), events.Generation(model.Generation(g)), events.Reason(err))
+}
+
+// InvalidInput implements wire.Counters. The greeting that was refused does
+// not reliably name its sender.
+func (a *Agent) InvalidInput(code result.Code) {
+	a.count(counterInvalidInput, 1)
+	err := result.Errorf(code, "input of a peer")
+	switch code {
+	case result.BadGreeting:
+		a.log.Emit(events.GreetingRefused, events.Reason(err))
+	case result.UnknownMessage:
+		a.log.Emit(events.MessageUnknown)
+	case result.FrameTooLarge:
+		a.log.Emit(events.FrameTooLarge)
+	}
+}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -148,12 +148,14 @@
 
 func (a *Agent) sendProbe(ctx context.Context, p membership.SendProbe) {
 	a.probesStarted.Add(1)
+	a.count(counterProbes, 1)
 	err := a.probe(ctx, p.To.AgentAddress, probeTimeout, p.Message, func(now time.Time, m membership.Message) []membership.Action {
 		return a.members.ProbeAnswered(now, p.Number, m)
 	})
 	if err == nil {
 		return
 	}
+	a.count(counterProbesMissed, 1)
 	a.mu.Lock()
 	out := outbox{members: a.members.ProbeMissed(time.Now(), p.Number)}
 	a.mu.Unlock()
@@ -161,6 +163,7 @@
 }
 
 func (a *Agent) askIndirect(ctx context.Context, p membership.SendIndirectProbe) bool {
+	a.count(counterIndirectProbes, 1)
 	env := &wirepb.Envelope{Body: &wirepb.Envelope_Probe{Probe: &wirepb.Probe{Target: string(p.Target.Host)}}}
 	answer, err := a.callOnce(ctx, p.Via.AgentAddress, 2*probeTimeout, env)
 	return err == nil && answer.GetProbeReply().GetAlive()
@@ -176,6 +179,7 @@
 }
 
 func (a *Agent) sendPush(ctx context.Context, p configreplica.Push) {
+	a.count(counterPushes, 1)
 	env := &wirepb.Envelope{Body: &wirepb.Envelope_ConfigPush{ConfigPush: deltaToWire(p.Delta, p.Subtree)}}
 	if a.sendFeed(ctx, p.To, env) == nil {
 		return
@@ -199,6 +203,7 @@
 }
 
 func (a *Agent) sendPull(ctx context.Context, p configreplica.Pull) {
+	a.count(counterPulls, 1)
 	env := &wirepb.Envelope{Body: &wirepb.Envelope_ConfigPull{ConfigPull: &wirepb.ConfigPull{HaveGeneration: uint64(p.Have)}}}
 	answer, err := a.callOnce(ctx, a.address(p.From), exchangeTimeout, env)
 	a.mu.Lock()
@@ -207,7 +212,9 @@
 		a.replica.PullFailed()
 	} else {
 		delta := deltaFromWire(answer.GetConfigPullReply().GetDelta())
-		out.replica = a.replica.Pulled(time.Now(), p.From, delta)
+		now := time.Now()
+		out.replica = a.replica.Pulled(now, p.From, delta)
+		a.observeConfig(now, fromPull, p.From)
 	}
 	a.mu.Unlock()
 	a.perform(ctx, out)
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -51,10 +51,11 @@
 		return
 	}
 	stored, err := envobject.Decode(object.Value)
-	if err != nil {
-		return
+	if err == nil {
+		_, err = document.Parse(stored.Document)
 	}
-	if _, err := document.Parse(stored.Document); err != nil {
+	if err != nil {
+		a.refuseConfig(object.Version, err)
 		return
 	}
 	now := time.Now()
@@ -64,6 +65,7 @@
 		Text:       stored.Document,
 		Meta:       metaFromWire(stored.Meta()),
 	})
+	a.observeConfig(now, fromStore, "")
 	a.publish(now)
 	a.mu.Unlock()
 	a.perform(ctx, outbox{replica: actions})
@@ -74,6 +76,7 @@
 func (a *Agent) firstRead(ctx context.Context) {
 	for policy := storeBackoff(); ctx.Err() == nil && !a.ready(); sleep(ctx, policy.NextBackOff()) {
 		object, err := a.platform.Get(ctx, envobject.Key(a.settings.Host.Environment))
+		_ = a.storeCall(err)
 		if errors.Is(err, platform.ErrNotFound) {
 			a.mu.Lock()
 			a.replica.StoreEmpty()
@@ -108,7 +111,7 @@
 		}
 		after = max(after, held)
 		objects, err := a.platform.Watch(ctx, envobject.Key(a.settings.Host.Environment), after)
-		if err != nil {
+		if a.storeCall(err) != nil {
 			sleep(ctx, policy.NextBackOff())
 			continue
 		}
@@ -142,6 +145,7 @@
 	self := a.selfRecord()
 	key := hostKeyPrefix + a.settings.Host.Environment + "/" + string(self.Host)
 	object, err := a.platform.Get(ctx, key)
+	_ = a.storeCall(err)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return false
 	}
@@ -154,7 +158,7 @@
 		return true
 	}
 	_, err = a.platform.Put(ctx, key, value, object.Version)
-	return err == nil
+	return a.storeCall(err) == nil
 }
 
 func (a *Agent) selfRecord() model.HostRecord {
@@ -213,11 +217,12 @@
 // the host list, if it can be read, still has.
 func (a *Agent) storedSeeds(ctx context.Context) []string {
 	objects, err := a.platform.List(ctx, hostKeyPrefix+a.settings.Host.Environment+"/")
+	_ = a.storeCall(err)
 	if err != nil {
 		return nil
 	}
 	listed := make(map[string]bool)
-	if machines, err := a.platform.Machines(ctx); err == nil {
+	if machines, err := a.platform.Machines(ctx); a.storeCall(err) == nil {
 		for _, m := range machines {
 			listed[m.Name] = true
 		}
--- a/internal/agent/traffic.go
+++ b/internal/agent/traffic.go
@@ -9,6 +9,15 @@
 	counterBytesReceived = "wire_bytes_received"
 )
 
+// Counters of calls between agents.
+const (
+	counterProbes         = "probes"
+	counterIndirectProbes = "indirect_probes"
+	counterProbesMissed   = "probes_missed"
+	counterPushes         = "pushes"
+	counterPulls          = "pulls"
+)
+
 // count adds to a counter if the agent has metrics.
 func (a *Agent) count(name string, n int64) {
 	if a.metrics != nil && n > 0 {
--- a/pkg/configreplica/start.go
+++ b/pkg/configreplica/start.go
@@ -22,6 +22,9 @@
 // stays true.
 func (r *Replica) Ready() bool { return r.start.ready }
 
+// Heard is the number of peers that answered while this host was starting.
+func (r *Replica) Heard() int { return len(r.start.heard) }
+
 // hear notes a peer's answer to a pull.
 func (r *Replica) hear(peer model.HostID, g model.Generation) {
 	if !r.start.ready {
