--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -53,8 +54,12 @@
 	platform platform.Platform
 	identity wire.Identity
 	// feed keeps its sessions: the children in the feed tree rarely change.
-	feed  *wire.Client
-	calls chan struct{}
+	feed *wire.Client
+	// connect opens connections to peers. It is set before serve.
+	connect func(address string) (net.Conn, error)
+	calls   chan struct{}
+	// probesStarted counts direct probes.
+	probesStarted atomic.Int64
 
 	mu       sync.Mutex
 	members  *membership.Members
@@ -64,6 +69,10 @@
 	inForce  map[model.HostID]heardGeneration
 	leaving  bool
 	lastTick time.Time
+	outage   outage
+	observed observedHosts
+	// observedGeneration was last logged as in force.
+	observedGeneration model.Generation
 	// fedMembers is the membership version that the replica knows.
 	fedMembers uint64
 	// seen is the state of the decision packages at the last publication.
@@ -103,20 +112,24 @@
 		Host:        s.Host.ID,
 		Incarnation: incarnation,
 	}
-	return &Agent{
+	a := &Agent{
 		settings: s,
 		platform: p,
 		identity: identity,
-		feed:     wire.NewClient(identity, s.Limits.MaxFrameBytes),
+		feed:     wire.NewQuietClient(identity, s.Limits.MaxFrameBytes),
+		connect:  wire.Dial,
 		calls:    make(chan struct{}, maxCalls),
 		members:  membership.New(self, membership.DefaultConfig(), now, rng),
 		replica:  configreplica.New(self, configreplica.DefaultConfig(), rng),
+		shared:   sharedState{latencies: newLatencyTable()},
 		local:    make(localDaemons),
 		inForce:  make(map[model.HostID]heardGeneration),
 		lastTick: now,
 		state:    &wirepb.LocalState{},
 		changed:  make(chan struct{}),
 	}
+	a.feed.ConnectWith(a.open)
+	return a
 }
 
 // Run serves until ctx ends, then leaves gracefully.
@@ -138,7 +151,7 @@
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error {
-		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, nil).Serve(serving, peers)
+		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, a).Serve(serving, countingListener{peers, a})
 	})
 	group.Go(func() error {
 		stop := context.AfterFunc(serving, func() { _ = api.Close() })
@@ -201,6 +214,8 @@
 	out.members = a.members.Tick(now)
 	a.takeMembers()
 	out.replica = a.replica.Tick(now)
+	// A changed membership can make a pulled configuration usable.
+	a.observeConfig(now, fromPull, "")
 	a.publish(now)
 	return out
 }
@@ -211,6 +226,7 @@
 		return
 	}
 	a.fedMembers = a.members.Version()
+	a.observeMembers()
 	a.replica.SetMembers(a.members.Live())
 	maps.DeleteFunc(a.inForce, func(host model.HostID, _ heardGeneration) bool {
 		_, known := a.members.Record(host)
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -272,6 +272,8 @@
 			_, _ = caller.Send(t.Context(), h.callers, fmt.Sprintf("crash-%d", round), h.region, call)
 		}
 	}
+	const otherRequests = 400
+	f.waitFor("other requests went on", func() bool { return l.sent.Load() > otherRequests })
 	l.finish()
 	for _, region := range s.regions {
 		crashes := 0
