Wait for the first dispatcher instead of refusing

Cause: at start a look-up names a host whose own view has no ready host yet; the host then refuses with code 216.

Ruled out: naming a host only after it saw itself ready, which one lagging view would undo.

Change: a request for a service that has servers but no dispatcher in view waits within its deadline.

Before: TestRequestWaitsForTheFirstDispatcher is answered with code 216 before there is a dispatcher.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -59,6 +59,7 @@
 		if !d.mayWait(view, req, answer.Code) || time.Now().Add(wait).After(req.Deadline) {
 			return answer
 		}
+		d.step(stepWait, req)
 		select {
 		case <-ctx.Done():
 			return answer
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -64,18 +64,31 @@
 // mayWait reports whether the request waits for capacity: the cap on moved
 // traffic rises with time, and a service without a server in this region
 // depends on grants of others. Other refusals are final, because this region's
-// queue is the place to wait.
+// queue is the place to wait. A service with servers but without
+// dispatchers waits for the view: this host or the region has just started.
 func (d *Daemon) mayWait(view *localstate.View, req Request, code result.Code) bool {
 	switch code {
 	case result.MoveCapReached:
 		return true
 	case result.NoCapacity, result.NoGrant:
 		return len(dispatchers(view, req.Service, d.settings.Host.Region)) == 0
+	case result.NoServer:
+		return hasServer(view, req.Service)
 	default:
 		return false
 	}
 }
 
+// hasServer reports whether any server of the service may get work.
+func hasServer(view *localstate.View, service model.Service) bool {
+	for _, s := range view.Document.Servers {
+		if s.Service == service && !s.Drain && !view.Leaving[s.Name] {
+			return true
+		}
+	}
+	return false
+}
+
 // try passes the request to a candidate. The deadline is checked once more,
 // since the process may have been paused after the last check.
 func (d *Daemon) try(ctx context.Context, req Request, c candidate) Answer {
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -13,6 +13,8 @@
 	stepDispatched
 	// stepKept: the dispatcher has kept the answer and not replied.
 	stepKept
+	// stepWait: the owner waits for capacity or a dispatcher.
+	stepWait
 	// stepAnswered: the owner has the answer and has not recorded it.
 	stepAnswered
 )
