--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -35,6 +35,8 @@
 	client *platform.Client
 	// prepare may change an agent and its listener before it serves.
 	prepare func(a *Agent, peers net.Listener) net.Listener
+	// adjust may change the settings and the address that others use.
+	adjust func(s *settings.Settings)
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -67,7 +69,12 @@
 		listeners[i] = l
 	}
 	address := listeners[0].Addr().String()
-	a := New(daemon.Base{Settings: hostSettings(len(f.agents), address, f.seeds)}, platform.NewClient(f.url))
+	s := hostSettings(len(f.agents), address, f.seeds)
+	if f.adjust != nil {
+		f.adjust(s)
+		address = s.Listen.Agent
+	}
+	a := New(daemon.Base{Settings: s}, platform.NewClient(f.url))
 	if f.prepare != nil {
 		listeners[0] = f.prepare(a, listeners[0])
 	}
