Report a preempted request that gets no second slot as unknown

Cause: reading the dispatcher as a newcomer showed that a preempted idempotent request which then waits past its deadline was refused as not run (205), although its backend server had begun to run it.

Ruled out: counting a preemption as not run because the server accepts cancellation; it may have run to its end before it noticed.

Change: refusals after a preemption carry an unknown outcome (301).

Before: TestPreemptedRequestIsNotCalledNotRun gets class not-run after one run. After: class unknown.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -56,27 +56,37 @@
 		return refusal(req, code, "")
 	}
 	queued := time.Now()
+	preempted := false
 	for {
 		if waiter != nil {
 			r, code = s.await(ctx, waiter)
 			if r == nil {
-				return refusal(req, code, "")
+				return notStarted(req, code, preempted)
 			}
 		}
 		s.metrics.ObserveQueueTime(req.Service, req.Rank, time.Since(queued))
 		if !item.Alone && s.guard.standing(req, time.Now()) != quarantine.Clear {
 			// The request became a suspect while it waited.
 			s.finish(time.Now(), r, result.NoCapacity)
-			return refusal(req, result.NoCapacity, "the request is suspected to crash servers")
+			return notStarted(req, result.NoCapacity, preempted)
 		}
 		answer, again := s.execute(ctx, req, r)
 		if again == nil {
 			return answer
 		}
-		waiter = again
+		waiter, preempted = again, true
 	}
 }
 
+// notStarted answers a request that got no slot. After a preemption it has
+// run in part, so the answer does not say that it did not run.
+func notStarted(req Request, code result.Code, preempted bool) Answer {
+	if preempted {
+		return refusal(req, result.DeadlineAfter, "preempted, then "+code.String())
+	}
+	return refusal(req, code, "")
+}
+
 // await waits for a slot. It returns no run, and the reason, if the request
 // left the queue instead.
 func (s *scheduler) await(ctx context.Context, waiter *pending) (*run, result.Code) {
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -58,7 +57,7 @@
 }
 
 // pending is a request that waits for a slot. Its owner goroutine waits for
-// started or gone; the scheduler closes one of them.
+// started or gone; the scheduler sends to one of them.
 type pending struct {
 	item admission.Item
 	// moved says that the home region is another one.
@@ -127,118 +126,6 @@
 	s.pump(now)
 }
 
-func (s *scheduler) handOver(now time.Time, name model.ServerID) {
-	s.table.Remove(name)
-	s.ledger.RemoveServer(now, name)
-	s.drains.Forget(name)
-	delete(s.leavingSince, name)
-	delete(s.failing, name)
-	s.disconnect(name)
-	delete(s.specs, name)
-	s.log.Emit(events.ServerHandedOver, events.Server(name), events.Service(s.service.Name))
-}
-
-func (s *scheduler) takeOver(now time.Time, name model.ServerID, bound boundServer) {
-	old, known := s.specs[name]
-	if old != bound.spec {
-		s.table.Put(now, bound.spec, bound.origin)
-		if known && old.Address != bound.spec.Address {
-			s.disconnect(name)
-		}
-		if s.conns[name] == nil {
-			s.connect(name, bound.spec)
-		}
-		s.specs[name] = bound.spec
-	}
-	s.drains.Observe(name, drain.Document, bound.spec.Drain, now)
-	s.drains.Observe(name, drain.HostList, bound.listedLeaving, now)
-	s.applyDrain(now, name)
-}
-
-// connect opens the server for requests and follows its health.
-func (s *scheduler) connect(name model.ServerID, spec document.Server) {
-	server := backend.NewServer(spec)
-	ctx, cancel := context.WithCancel(context.Background())
-	s.conns[name], s.watches[name] = server, cancel
-	go server.Watch(ctx, func(status backend.Status, err error) {
-		if ctx.Err() == nil {
-			s.checked(time.Now(), name, status, err)
-		}
-	})
-	s.log.Emit(events.ServerTaken, events.Server(name), events.Service(s.service.Name))
-}
-
-func (s *scheduler) disconnect(name model.ServerID) {
-	s.watches[name]()
-	s.conns[name].Close()
-	delete(s.watches, name)
-	delete(s.conns, name)
-}
-
-// checked takes the result of a health check. A server that answers again
-// after it did not has restarted, and what it said before no longer counts.
-func (s *scheduler) checked(now time.Time, name model.ServerID, status backend.Status, err error) {
-	s.mu.Lock()
-	spec, known := s.specs[name]
-	failedBefore := s.failing[name]
-	if known {
-		s.failing[name] = err != nil
-	}
-	s.mu.Unlock()
-	if !known {
-		return
-	}
-	if err != nil {
-		s.log.Emit(events.ServerUnreachable, events.Server(name), events.Address(spec.Address), events.Reason(err))
-		return
-	}
-	if failedBefore {
-		s.restarted(now, name)
-	}
-	s.observe(now, name, drain.Health, status.Draining, now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.Report(now, name, status.Busy)
-	s.pump(now)
-}
-
-func (s *scheduler) restarted(now time.Time, name model.ServerID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.drains.Restarted(name, now)
-	s.table.SetCold(now, name)
-}
-
-// observe takes a statement about a server's drain.
-func (s *scheduler) observe(now time.Time, name model.ServerID, source drain.Source, leaving bool, at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.specs[name]; !ok {
-		return
-	}
-	before := s.drains.MayUse(name, now)
-	s.drains.Observe(name, source, leaving, at)
-	if before && !s.drains.MayUse(name, now) {
-		s.log.Emit(events.ServerDraining, events.Server(name), events.Reason(fmt.Errorf("source %s", source)))
-	}
-	s.applyDrain(now, name)
-}
-
-// applyDrain stops or resumes new work for a server.
-func (s *scheduler) applyDrain(now time.Time, name model.ServerID) {
-	usable := s.drains.MayUse(name, now) && s.conns[name].Reachable(now)
-	s.table.SetLeaving(name, !usable)
-	if usable {
-		delete(s.leavingSince, name)
-		s.ledger.SetServer(now, name, s.specs[name].Slots)
-		return
-	}
-	s.ledger.RemoveServer(now, name)
-	if _, known := s.leavingSince[name]; !known {
-		s.leavingSince[name] = now
-	}
-}
-
 // tick drives what depends on time alone.
 func (s *scheduler) tick(now time.Time) {
 	s.mu.Lock()
@@ -462,69 +349,6 @@
 	}
 }
 
-// startGranted takes a slot for a request of another region. Its grant stands
-// for a free slot, so it does not wait.
-func (s *scheduler) startGranted(now time.Time, item admission.Item, id grant.ID, holder model.HostID, moved bool) (*run, result.Code) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if code := s.ledger.Start(now, id, holder); code != result.Served {
-		return nil, code
-	}
-	if moved {
-		if code := s.moves.Start(now); code != result.Served {
-			s.ledger.Finish(now, id)
-			return nil, code
-		}
-	}
-	s.lastID++
-	item.ID = s.lastID
-	r, ok := s.acquire(now, item, moved)
-	if !ok {
-		s.finishMove(now, moved)
-		s.ledger.Finish(now, id)
-		return nil, result.NoCapacity
-	}
-	r.grantID = id
-	s.queue.Started(now, item.Rank)
-	return r, result.Served
-}
-
-// checkMove refuses a moved request that the cap does not admit now. Only
-// running requests count against the cap, so it takes nothing.
-func (s *scheduler) checkMove(now time.Time) result.Code {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	code := s.moves.Start(now)
-	s.finishMove(now, code == result.Served)
-	return code
-}
-
-// finishMove ends a moved request. The caller holds the mutex.
-func (s *scheduler) finishMove(now time.Time, moved bool) {
-	if moved {
-		s.moves.Finish(now)
-	}
-}
-
-// issue grants spare slots to an entry host of another region. Slots that
-// waiting local work needs are not spare.
-func (s *scheduler) issue(now time.Time, holder model.HostID, want int) (grant.Grant, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	spare := min(s.table.Free(now), s.ledger.LocalRoom(now)) - s.queue.Len()
-	if spare <= 0 {
-		return grant.Grant{}, false
-	}
-	return s.ledger.Issue(now, holder, want, spare)
-}
-
-func (s *scheduler) takeBack(now time.Time, id grant.ID, holder model.HostID, count int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ledger.Return(now, id, holder, count)
-	s.pump(now)
-}
-
 // allowPreemption lets the queue cancel the run.
 func (s *scheduler) allowPreemption(r *run, cancel context.CancelCauseFunc) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/entry/servers.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/backend"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+// handOver gives up a server, whose runs complete. The caller holds the mutex.
+func (s *scheduler) handOver(now time.Time, name model.ServerID) {
+	s.table.Remove(name)
+	s.ledger.RemoveServer(now, name)
+	s.drains.Forget(name)
+	delete(s.leavingSince, name)
+	delete(s.failing, name)
+	s.disconnect(name)
+	delete(s.specs, name)
+	s.log.Emit(events.ServerHandedOver, events.Server(name), events.Service(s.service.Name))
+}
+
+// takeOver puts a server's specification and drain in force. The caller holds
+// the mutex.
+func (s *scheduler) takeOver(now time.Time, name model.ServerID, bound boundServer) {
+	old, known := s.specs[name]
+	if old != bound.spec {
+		s.table.Put(now, bound.spec, bound.origin)
+		if known && old.Address != bound.spec.Address {
+			s.disconnect(name)
+		}
+		if s.conns[name] == nil {
+			s.connect(name, bound.spec)
+		}
+		s.specs[name] = bound.spec
+	}
+	s.drains.Observe(name, drain.Document, bound.spec.Drain, now)
+	s.drains.Observe(name, drain.HostList, bound.listedLeaving, now)
+	s.applyDrain(now, name)
+}
+
+// connect opens the server for requests and follows its health.
+func (s *scheduler) connect(name model.ServerID, spec document.Server) {
+	server := backend.NewServer(spec)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.conns[name], s.watches[name] = server, cancel
+	go server.Watch(ctx, func(status backend.Status, err error) {
+		if ctx.Err() == nil {
+			s.checked(time.Now(), name, status, err)
+		}
+	})
+	s.log.Emit(events.ServerTaken, events.Server(name), events.Service(s.service.Name))
+}
+
+func (s *scheduler) disconnect(name model.ServerID) {
+	s.watches[name]()
+	s.conns[name].Close()
+	delete(s.watches, name)
+	delete(s.conns, name)
+}
+
+// checked takes the result of a health check. A server that answers again
+// after it did not has restarted, and what it said before no longer counts.
+func (s *scheduler) checked(now time.Time, name model.ServerID, status backend.Status, err error) {
+	s.mu.Lock()
+	spec, known := s.specs[name]
+	failedBefore := s.failing[name]
+	if known {
+		s.failing[name] = err != nil
+	}
+	s.mu.Unlock()
+	if !known {
+		return
+	}
+	if err != nil {
+		s.log.Emit(events.ServerUnreachable, events.Server(name), events.Address(spec.Address), events.Reason(err))
+		return
+	}
+	if failedBefore {
+		s.restarted(now, name)
+	}
+	s.observe(now, name, drain.Health, status.Draining, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Report(now, name, status.Busy)
+	s.pump(now)
+}
+
+func (s *scheduler) restarted(now time.Time, name model.ServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drains.Restarted(name, now)
+	s.table.SetCold(now, name)
+}
+
+// observe takes a statement about a server's drain.
+func (s *scheduler) observe(now time.Time, name model.ServerID, source drain.Source, leaving bool, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.specs[name]; !ok {
+		return
+	}
+	before := s.drains.MayUse(name, now)
+	s.drains.Observe(name, source, leaving, at)
+	if before && !s.drains.MayUse(name, now) {
+		s.log.Emit(events.ServerDraining, events.Server(name), events.Reason(fmt.Errorf("source %s", source)))
+	}
+	s.applyDrain(now, name)
+}
+
+// applyDrain stops or resumes new work for a server. The caller holds the
+// mutex.
+func (s *scheduler) applyDrain(now time.Time, name model.ServerID) {
+	usable := s.drains.MayUse(name, now) && s.conns[name].Reachable(now)
+	s.table.SetLeaving(name, !usable)
+	if usable {
+		delete(s.leavingSince, name)
+		s.ledger.SetServer(now, name, s.specs[name].Slots)
+		return
+	}
+	s.ledger.RemoveServer(now, name)
+	if _, known := s.leavingSince[name]; !known {
+		s.leavingSince[name] = now
+	}
+}
