--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -212,22 +212,9 @@
 func TestRegionLossMovesItsCallers(t *testing.T) {
 	f := newFleet(t, defaultSpec())
 	f.waitReady(len(f.hosts))
-	lost := "gandaki"
-	for _, h := range f.hosts {
-		if h.region == lost {
-			h.signalAll(syscall.SIGKILL)
-		}
-	}
-	for name, b := range f.backends {
-		if strings.Contains(name, lost) {
-			b.close()
-		}
-	}
+	f.loseRegion("gandaki")
 	f.waitReady(len(f.hosts) / 2)
-	f.waitFor("a caller of the dead region is served", func() bool {
-		got, err := f.serveOne("10.2.7.0/24", "moved", "x")
-		return err == nil && got.Class == "served"
-	})
+	f.waitServed("10.2.7.0/24")
 }
 
 // Guards against new work for a backend server that the platform's host list
@@ -275,23 +262,29 @@
 	const otherRequests = 400
 	f.waitFor("other requests went on", func() bool { return l.sent.Load() > otherRequests })
 	l.finish()
-	for _, region := range s.regions {
+	f.checkCrashes(s.regions)
+	const keptGoodput = 0.95
+	if float64(l.served.Load()) < keptGoodput*float64(l.sent.Load()) {
+		t.Errorf("other requests: %d of %d served", l.served.Load(), l.sent.Load())
+	}
+	t.Logf("other requests: %d of %d served", l.served.Load(), l.sent.Load())
+}
+
+// checkCrashes checks that no region had more than two crashes.
+func (f *fleet) checkCrashes(regions []string) {
+	f.t.Helper()
+	for _, region := range regions {
 		crashes := 0
 		for name, b := range f.backends {
 			if strings.Contains(name, region) {
 				crashes += b.Crashes()
 			}
 		}
+		f.t.Logf("%d crashes in %s", crashes, region)
 		if crashes > 2 {
-			t.Errorf("%d crashes in %s, want at most 2", crashes, region)
+			f.t.Errorf("%d crashes in %s, want at most 2", crashes, region)
 		}
-		t.Logf("%d crashes in %s", crashes, region)
 	}
-	const keptGoodput = 0.95
-	if float64(l.served.Load()) < keptGoodput*float64(l.sent.Load()) {
-		t.Errorf("other requests: %d of %d served", l.served.Load(), l.sent.Load())
-	}
-	t.Logf("other requests: %d of %d served", l.served.Load(), l.sent.Load())
 }
 
 // Guards against requests that are lost on a connection that has gone silent
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -323,6 +323,7 @@
 	callers   string
 	lookup    string
 	operators string
+	metrics   string
 	processes map[string]*process
 }
 
@@ -362,6 +363,7 @@
 		callers:   free[0],
 		lookup:    free[1],
 		operators: free[2],
+		metrics:   free[6],
 		processes: make(map[string]*process),
 	}
 	agent := free[3]
--- a/internal/e2e/operator_test.go
+++ b/internal/e2e/operator_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net/http"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,4 +59,27 @@
 	for _, failure := range l.failures {
 		t.Error(failure)
 	}
+	if !f.measures("booking-desk", "check") {
+		t.Error("no host publishes a latency of checks of booking-desk")
+	}
+}
+
+// measures reports whether an entry daemon publishes a latency of the service
+// and rank.
+func (f *fleet) measures(service, rank string) bool {
+	for _, h := range f.hosts {
+		resp, err := http.Get("http://" + h.metrics + "/debug/vars")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if strings.Contains(string(text), service) && strings.Contains(string(text), rank) && strings.Contains(string(text), "p99_ms") {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/e2e/pairs_test.go
+++ b/internal/e2e/pairs_test.go
@@ -113,17 +113,7 @@
 			h.signalAll(syscall.SIGKILL)
 		}
 	}
-	for _, region := range s.regions {
-		crashes := 0
-		for name, b := range f.backends {
-			if strings.Contains(name, region) {
-				crashes += b.Crashes()
-			}
-		}
-		if crashes > 2 {
-			t.Errorf("%d crashes in %s, want at most 2", crashes, region)
-		}
-	}
+	f.checkCrashes(s.regions)
 }
 
 // A flood in the region that takes over: guards against moved checks that
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -73,7 +73,7 @@
 		Host:   settings.Host{ID: model.HostID(name), Environment: "test", Region: "r", FailureDomain: "r-a"},
 		Limits: settings.Limits{MaxBodyBytes: 1 << 20, MaxFrameBytes: wire.DefaultMaxFrameBytes},
 	}
-	agent, callers, peers := listen(f.t), listen(f.t), listen(f.t)
+	agent, callers, peers := listenLoopback(f.t), listenLoopback(f.t), listenLoopback(f.t)
 	s.Listen.Agent = agent.Addr().String()
 	h := &testHost{Daemon: New(daemon.Base{Settings: s, Metrics: metrics.New()}), dead: make(chan struct{}), agent: make(fakeAgent), applied: make(chan struct{})}
 	h.watcher.OnChange = func(view *localstate.View) { h.onView(view); h.applied <- struct{}{} }
@@ -100,7 +100,7 @@
 	return h
 }
 
-func listen(t *testing.T) net.Listener {
+func listenLoopback(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -14,6 +14,7 @@
 
 	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/listen"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/settings"
@@ -136,7 +137,8 @@
 		return wire.NewServer(d.identity, d, d.settings.Limits.MaxFrameBytes, d).Serve(serveCtx, peers)
 	})
 	group.Go(func() error {
-		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
+		limited := listen.Limit(callers, d.settings.Limits.MaxConnections, d.dropped)
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("serve callers: %w", err)
 		}
 		return nil
@@ -172,6 +174,12 @@
 	d.metrics.Add(fmt.Sprintf("invalid_input_%d", code), 1)
 }
 
+// dropped counts a caller's connection over the limit.
+func (d *Daemon) dropped() {
+	d.metrics.Add("connections_over_limit", 1)
+	d.log.Emit(events.ConnectionsFull, events.Count(d.settings.Limits.MaxConnections))
+}
+
 func (d *Daemon) tick(now time.Time) {
 	d.dispatcher.tick(now)
 	d.lifecycle.tick()
--- a/internal/lookup/handler.go
+++ b/internal/lookup/handler.go
@@ -26,6 +26,8 @@
 	return c
 }
 
+func countDropped() { countDroppedOnFull.Add(1) }
+
 // answerBytes is the initial size of answer buffers.
 const answerBytes = 4 << 10
 
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/listen"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/settings"
@@ -55,6 +57,9 @@
 		tables:      newTables(),
 	}
 	d.tables.weights = effectiveWeights
+	if d.metrics != nil {
+		d.metrics.Gauge("lookup", func() any { return json.RawMessage(counters.String()) })
+	}
 	d.watcher.OnChange = func(view *localstate.View) { d.tables.take(view, time.Now()) }
 	d.watcher.OnError = func(err error) {
 		d.log.Emit(events.AgentLost, events.Address(s.Listen.Agent), events.Reason(err))
@@ -74,7 +79,7 @@
 	group.Go(func() error { d.followTime(ctx); return nil })
 	group.Go(func() error { return metrics.Serve(ctx, d.settings.Listen.LookupMetrics, d.metrics) })
 	group.Go(func() error {
-		return serve(ctx, limitConnections(listener, d.settings.Limits.MaxConnections), d.tables.current.Load)
+		return serve(ctx, listen.Limit(listener, d.settings.Limits.MaxConnections, countDropped), d.tables.current.Load)
 	})
 	return group.Wait()
 }
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -17,6 +17,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/listen"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
 	"github.com/wisteriacrank/wisteriacrank/internal/standin"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
@@ -175,7 +176,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		l, result := newPipeListener(), make(chan error, 1)
-		go func() { result <- serve(ctx, limitConnections(l, limit), testTables().current.Load) }()
+		go func() { result <- serve(ctx, listen.Limit(l, limit, countDropped), testTables().current.Load) }()
 		test(l, func() error { cancel(); return <-result })
 	})
 }
