--- a/internal/agent/observe.go
+++ b/internal/agent/observe.go
@@ -27,6 +27,8 @@
 // guards it.
 type outage struct {
 	since time.Time
+	// answered is the time of the last answer.
+	answered time.Time
 	// hostListRead is the last read, or the first failure if there was none.
 	hostListRead time.Time
 }
@@ -45,6 +47,7 @@
 	switch {
 	case !failed:
 		a.outage.since = time.Time{}
+		a.outage.answered = now
 	case since.IsZero():
 		since = now
 		a.outage.since = now
--- a/internal/agent/operate.go
+++ b/internal/agent/operate.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/envobject"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/operator"
 	"github.com/wisteriacrank/wisteriacrank/internal/platform"
@@ -75,9 +76,25 @@
 	for _, details := range a.collectDetails(ctx) {
 		status.Add(details)
 	}
+	status.StoreSeconds = a.sinceStoreAnswered(ctx)
 	return status, nil
 }
 
+// sinceStoreAnswered asks the store once, since most agents call it seldom, and
+// returns the seconds since its last answer, -1 if there was none.
+func (a *Agent) sinceStoreAnswered(ctx context.Context) float64 {
+	ctx, cancel := context.WithTimeout(ctx, detailsTimeout)
+	defer cancel()
+	_, err := a.platform.Get(ctx, envobject.Key(a.settings.Host.Environment))
+	_ = a.storeCall(err)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.outage.answered.IsZero() {
+		return -1
+	}
+	return time.Since(a.outage.answered).Seconds()
+}
+
 func (h HostStatus) isLive() bool {
 	return h.State != model.HostDead.String() && h.State != model.HostLeft.String()
 }
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -263,6 +263,14 @@
 	f.waitFor("other requests went on", func() bool { return l.sent.Load() > otherRequests })
 	l.finish()
 	f.checkCrashes(s.regions)
+	f.waitFor("the status shows the conviction", func() bool {
+		for _, q := range f.status().Quarantined {
+			if q.Convicted > 0 {
+				return true
+			}
+		}
+		return false
+	})
 	const keptGoodput = 0.95
 	if float64(l.served.Load()) < keptGoodput*float64(l.sent.Load()) {
 		t.Errorf("other requests: %d of %d served", l.served.Load(), l.sent.Load())
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -58,6 +58,7 @@
 	for _, s := range all {
 		s.describe(now, &details)
 	}
+	d.guard.describe(now, d.region, &details)
 	text, err := json.Marshal(details)
 	if err != nil {
 		return nil
@@ -65,16 +66,33 @@
 	return text
 }
 
+// everyName stands for all services or regions in a status line that does not tell them
+// apart.
+const everyName = "*"
+
+// describe counts the region's quarantined requests. Their records are hashes
+// and do not name a service.
+func (g *crashGuard) describe(now time.Time, region model.Region, details *operator.HostDetails) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	suspected, convicted := g.table.Counts(now)
+	if suspected+convicted > 0 {
+		details.Quarantined = append(details.Quarantined, operator.Quarantined{
+			Region: string(region), Service: everyName, Suspected: suspected, Convicted: convicted,
+		})
+	}
+}
+
 func (s *scheduler) describe(now time.Time, details *operator.HostDetails) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	region, service := string(s.region), string(s.service.Name)
 	s.describeDrains(now, details)
 	if s.moves.Limit(now) > 0 {
-		details.Moves = append(details.Moves, operator.MoveStatus{Region: region, InUse: s.moved, Limit: s.moves.Limit(now)})
+		details.Moves = append(details.Moves, operator.MoveStatus{Region: region, Home: everyName, InUse: s.moved, Limit: s.moves.Limit(now)})
 	}
 	if reserved := s.ledger.Reserved(now); reserved > 0 {
-		details.Grants = append(details.Grants, operator.GrantStatus{Region: region, Service: service, Slots: reserved})
+		details.Grants = append(details.Grants, operator.GrantStatus{Region: region, To: everyName, Service: service, Slots: reserved})
 	}
 	for _, rank := range s.ranks {
 		if rate := s.refusals.perSecond(now, rank.Name); rate > 0 {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -15,7 +15,8 @@
 	Agent string `json:"agent"`
 	// Generation is the highest one that the agent knows.
 	Generation uint64 `json:"generation"`
-	// StoreSeconds is the time since the store last answered the agent.
+	// StoreSeconds is the time since the store last answered the agent, -1 if
+	// it never did.
 	StoreSeconds float64        `json:"store_seconds"`
 	Regions      []RegionStatus `json:"regions"`
 	// Lagging are the hosts below Generation.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -63,6 +63,20 @@
 // Len returns the number of entries. While it is 0, no content needs a hash.
 func (t *Table) Len() int { return len(t.entries) }
 
+// Counts returns the numbers of suspected and convicted contents.
+func (t *Table) Counts(now time.Time) (suspected, convicted int) {
+	t.expire(now)
+	for _, e := range t.entries {
+		switch e.standing {
+		case Suspect:
+			suspected++
+		case Convicted:
+			convicted++
+		}
+	}
+	return suspected, convicted
+}
+
 // Standing returns the standing of a content.
 func (t *Table) Standing(h Hash, now time.Time) Standing {
 	t.expire(now)
