Enforce the host's limit on waiting requests

Cause: the setting queue of [limits] was read and printed, but nothing bounded the requests that wait on a host over all services or for other regions.

Ruled out: a bound per service, which the rank queues already have.

A preempted request is not refused, since it was admitted.

Before: any number waits (by reading). After: TestWaitingRequestsAreLimited.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -20,6 +20,7 @@
 	region      model.Region
 	incarnation model.Incarnation
 	guard       *crashGuard
+	waits       *waitLimit
 	log         *events.Log
 	metrics     *metrics.Registry
 
@@ -28,12 +29,13 @@
 	schedulers map[model.Service]*scheduler
 }
 
-func newDispatcher(self model.HostID, region model.Region, incarnation model.Incarnation, log *events.Log, registry *metrics.Registry) *dispatcher {
+func newDispatcher(self model.HostID, region model.Region, incarnation model.Incarnation, waits *waitLimit, log *events.Log, registry *metrics.Registry) *dispatcher {
 	return &dispatcher{
 		self:        self,
 		region:      region,
 		incarnation: incarnation,
 		guard:       newCrashGuard(),
+		waits:       waits,
 		log:         log,
 		metrics:     registry,
 		schedulers:  make(map[model.Service]*scheduler),
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -71,7 +71,7 @@
 	f.t.Helper()
 	s := &settings.Settings{
 		Host:   settings.Host{ID: model.HostID(name), Environment: "test", Region: "r", FailureDomain: "r-a"},
-		Limits: settings.Limits{MaxBodyBytes: 1 << 20, MaxFrameBytes: wire.DefaultMaxFrameBytes},
+		Limits: settings.Limits{MaxBodyBytes: 1 << 20, MaxFrameBytes: wire.DefaultMaxFrameBytes, MaxQueue: 1000},
 	}
 	agent, callers, peers := listenLoopback(f.t), listenLoopback(f.t), listenLoopback(f.t)
 	s.Listen.Agent = agent.Addr().String()
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -60,16 +60,28 @@
 			return answer
 		}
 		d.step(stepWait, req)
-		select {
-		case <-ctx.Done():
+		if !d.pause(ctx, wait) {
 			return answer
-		case <-time.After(wait):
 		}
 		wait = min(2*wait, maxCapacityWait)
 		view = d.watcher.Current()
 	}
 }
 
+// pause waits, unless too many requests wait on this host or ctx ends.
+func (d *Daemon) pause(ctx context.Context, wait time.Duration) bool {
+	if !d.dispatcher.waits.enter() {
+		return false
+	}
+	defer d.dispatcher.waits.leave()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
 func (d *Daemon) handOverOnce(ctx context.Context, req *Request, view *localstate.View, budget retryBudget) Answer {
 	queue := d.candidates(view, *req)
 	again := len(queue)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -47,7 +47,13 @@
 	var r *run
 	var code result.Code
 	if req.FromRegion == s.region {
+		if !s.waits.enter() {
+			return refusal(req, result.QueueFull, "too many requests wait on this host")
+		}
 		waiter, code = s.enqueue(time.Now(), item, moved)
+		if code != result.Served {
+			s.waits.leave()
+		}
 	} else {
 		id := grant.ID{Incarnation: req.GrantIncarnation, Sequence: req.GrantID}
 		r, code = s.startGranted(time.Now(), item, id, holder, moved)
@@ -60,6 +66,7 @@
 	for {
 		if waiter != nil {
 			r, code = s.await(ctx, waiter)
+			s.waits.leave()
 			if r == nil {
 				return notStarted(req, code, preempted)
 			}
@@ -74,6 +81,9 @@
 		if again == nil {
 			return answer
 		}
+		// A preempted request was admitted before, so the limit does not refuse
+		// it now.
+		s.waits.waiting.Add(1)
 		waiter, preempted = again, true
 	}
 }
--- a/internal/entry/run_test.go
+++ b/internal/entry/run_test.go
@@ -37,3 +37,24 @@
 		t.Errorf("%+v after %d runs, want an unknown outcome", got, f.runs("preempted"))
 	}
 }
+
+// Guards against a host that lets any number of requests wait: the limit holds
+// over all services, and a request that leaves makes room again.
+func TestWaitingRequestsAreLimited(t *testing.T) {
+	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1, ServiceTime: 100 * time.Millisecond})
+	h := f.hosts[0]
+	h.dispatcher.waits.limit = 0
+	got, err := f.send(h, "refused", true, "b")
+	if err != nil || got.Result != int(result.QueueFull) || f.runs("refused") != 0 {
+		t.Errorf("%+v, %v, want %v", got, err, result.QueueFull)
+	}
+	h.dispatcher.waits.limit = 1
+	for _, id := range []string{"first", "second"} {
+		if got, err := f.send(h, id, true, "b"); err != nil || got.Class != "served" {
+			t.Errorf("%s: %+v, %v, want served", id, got, err)
+		}
+	}
+	if n := h.dispatcher.waits.waiting.Load(); n != 0 {
+		t.Errorf("%d requests are still counted as waiting", n)
+	}
+}
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -28,6 +28,7 @@
 type scheduler struct {
 	region  model.Region
 	guard   *crashGuard
+	waits   *waitLimit
 	log     *events.Log
 	metrics *metrics.Registry
 
@@ -85,6 +86,7 @@
 	return &scheduler{
 		region:       d.region,
 		guard:        d.guard,
+		waits:        d.waits,
 		log:          d.log,
 		metrics:      d.metrics,
 		service:      service,
--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -78,7 +78,7 @@
 		incarnation: incarnation,
 		peers:       peers,
 		watcher:     localstate.NewWatcher(peers, s.Listen.Agent),
-		dispatcher:  newDispatcher(s.Host.ID, s.Host.Region, incarnation, base.Log, base.Metrics),
+		dispatcher:  newDispatcher(s.Host.ID, s.Host.Region, incarnation, newWaitLimit(s.Limits.MaxQueue), base.Log, base.Metrics),
 		remote:      newRemote(s.Host.Region, peers, int64(incarnation)),
 		links:       newLinks(s.Host.Region, s.Limits.MaxBodyBytes),
 		balancer:    newBalancer(int64(incarnation)),
