Measure store calls against hosts for the capacity page

Cause: the page gave the store's calls by arithmetic only.

Change: the agents' traffic test also counts calls at the stand-in store, and make capacity takes the figures.

Conclusion: the store's calls grow with regions and failure domains, not hosts.

--- a/internal/agent/traffic_linux_test.go
+++ b/internal/agent/traffic_linux_test.go
@@ -159,6 +159,7 @@
 		before[i] = m.sent()
 	}
 	started = f.probes()
+	calls := f.store.Calls()
 	f.wait("probes", func() bool { return f.probes()-started >= int64(rounds*hosts) })
 	elapsed := float64(f.probes()-started) / float64(hosts) * membership.DefaultConfig().ProbeInterval.Seconds()
 	var sum, highest float64
@@ -170,7 +171,8 @@
 	t.Logf("%.0f B/s sent per agent, highest %.0f, headers estimated as %d bytes per segment", sum/float64(hosts), highest, headerBytes)
 	if testing.Verbose() {
 		// make capacity reads this line.
-		fmt.Printf("\nBenchmarkQuietAgent/members=%d 1 %.0f bytes/s\n", hosts, highest)
+		callRate := float64(f.store.Calls()-calls) / elapsed
+		fmt.Printf("\nBenchmarkQuietAgent/members=%d 1 %.0f bytes/s %.2f store-calls/s\n", hosts, highest, callRate)
 	}
 	if highest > controlLimit {
 		t.Errorf("%.0f B/s sent by one agent, want at most %.0f", highest, controlLimit)
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -77,7 +77,10 @@
 
 func (f *figures) store() []row {
 	watches := float64(FailureDomains * watchersPerDom)
+	few := f.getUnit("agent.QuietAgent", smallFleet, "store-calls/s")
+	many := f.getUnit("agent.QuietAgent", quietFleet, "store-calls/s")
 	return []row{
+		{"Polls of the host list and of measurements", fmt.Sprintf("%s per s and region × %d", number(many), Regions), many * Regions, "calls/s", limitReads, fmt.Sprintf("one host per region polls: %s per s at %d hosts, %s at %d", number(few), smallFleet, number(many), quietFleet)},
 		{"Waiting watches", fmt.Sprintf("%d × %d", FailureDomains, watchersPerDom), watches, "calls", limitReads, "two watchers per failure domain"},
 		{"Watches that end with a change", fmt.Sprintf("%s × %s per s", number(watches), number(changesPerSec)), watches * changesPerSec, "calls/s", limitReads, "each watcher waits again"},
 		{"Promotions", fmt.Sprintf("%s / day", group(fmt.Sprint(ChangesPerDay))), changesPerSec, "writes/s", limitWrites, "one conditional write each"},
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -39,8 +39,10 @@
 	// idle: a ping and an answer from either side, each 12 bytes and 52 bytes
 	// of TCP and IP headers.
 	keepAliveBytes = 4 * (12 + 52)
-	// quietFleet is the number of agents whose quiet traffic is measured.
+	// quietFleet and smallFleet are the numbers of agents of one region whose
+	// quiet traffic is measured.
 	quietFleet = 24
+	smallFleet = 8
 	// objectBytes is the size of one host registration as JSON in the store.
 	objectBytes = 400
 )
