End the trial of a suspect only after its judgement

Cause: a dispatcher released the content of a suspect when its run ended, and judged it afterwards. A copy that arrived in between was admitted as the next trial and crashed a third server.

Change: the content is released after the judgement and the acknowledged notice. The entry daemon logs suspects, convictions, spent budgets, reached links, refused grants, sheds and full record tables.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -72,6 +72,12 @@
 	}
 	d.metrics.CountResult(req.Service, req.Rank, answer.Code)
 	d.metrics.ObserveLatency(req.Service, req.Rank, took)
+	if answer.Code == result.RecordsFull {
+		d.log.Emit(events.RecordTableFull)
+	}
+	if answer.Code == result.AnswerTruncated {
+		d.log.Emit(events.ResponseDropped, events.Service(req.Service), events.Code(answer.Code))
+	}
 	switch answer.Code.Class() {
 	case result.ClassUnknown:
 		d.log.Emit(events.OutcomeUnknown, events.Service(req.Service), events.Rank(req.Rank), events.Code(answer.Code))
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
@@ -150,6 +151,7 @@
 	if notice == nil {
 		return
 	}
+	d.logStanding(req, answer, notice)
 	view := d.watcher.Current()
 	own := func(h model.HostRecord) bool { return h.Region == d.settings.Host.Region }
 	if notice.Cleared {
@@ -162,6 +164,22 @@
 	d.notify(view, notice, own)
 }
 
+func (d *Daemon) logStanding(req Request, answer Answer, notice *wirepb.SuspectNotice) {
+	server := events.Server("")
+	if n := len(answer.Hops); n > 0 {
+		server = events.Server(model.ServerID(answer.Hops[n-1]))
+	}
+	service := events.Service(req.Service)
+	switch {
+	case notice.Cleared:
+		d.log.Emit(events.RequestCleared, service)
+	case notice.Convicted:
+		d.log.Emit(events.RequestConvicted, service, server)
+	default:
+		d.log.Emit(events.RequestSuspected, service, server, events.Count(1))
+	}
+}
+
 // notify sends a notice to the chosen hosts and waits for their
 // acknowledgements, at most noticeTimeout.
 func (d *Daemon) notify(view *localstate.View, notice *wirepb.SuspectNotice, to func(model.HostRecord) bool) {
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -133,3 +133,27 @@
 		}
 	}
 }
+
+// Guards against a copy of a suspect that is admitted after the suspect crashed
+// its server and before it is convicted.
+func TestCopyOfASuspectWaitsForItsJudgement(t *testing.T) {
+	f := newFleet(t, 1, 4, standin.BackendConfig{Slots: 50, ServiceTime: time.Millisecond})
+	h := f.hosts[0]
+	copied := make(chan standin.CallResult, 100)
+	h.onStepDo(func(at requestStep, req Request) {
+		if at == stepDispatched && req.ID == "second" {
+			got, _ := f.send(h, "copy", true, standin.CrashMarker)
+			copied <- got
+		}
+	})
+	h.dispatcher.guard.apply(&wirepb.SuspectNotice{ContentHash: suspectHash()}, time.Now())
+	_, _ = f.send(h, "second", true, standin.CrashMarker)
+	if got := <-copied; got.Class != "not-run" || f.runs("copy") != 0 {
+		t.Errorf("%+v after %d runs, want not run", got, f.runs("copy"))
+	}
+}
+
+func suspectHash() []byte {
+	hash := quarantine.HashOf("desk", "run", []byte(standin.CrashMarker))
+	return hash[:]
+}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
@@ -82,6 +83,7 @@
 	}
 }
 
+// handOverOnce tries the candidates until one answers or none is left.
 func (d *Daemon) handOverOnce(ctx context.Context, req *Request, view *localstate.View, budget retryBudget) Answer {
 	queue := d.candidates(view, *req)
 	again := len(queue)
@@ -101,7 +103,11 @@
 			unknown = &lost
 		}
 		what := after(*req, answer.Code)
-		if what == stop || what == retry && !budget.Allow(time.Now()) {
+		if what == stop {
+			break
+		}
+		if what == retry && !budget.Allow(time.Now()) {
+			d.log.Emit(events.RetryBudgetSpent, events.Service(req.Service))
 			break
 		}
 		if what == retry {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -146,6 +146,11 @@
 	answer.Hops = append([]string{string(d.settings.Host.ID)}, answer.Hops...)
 	d.step(stepDispatched, req)
 	d.afterRun(req, answer)
+	if answer.trial {
+		// After the judgement: a copy that was admitted between the two would
+		// crash a third server.
+		d.dispatcher.guard.leave(req)
+	}
 	d.requests.kept.keep(req, answer, time.Now())
 	d.step(stepKept, req)
 	return answer
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -46,6 +46,8 @@
 	// ranAlone says that the dispatcher kept other work off the server. It is
 	// not sent to other hosts.
 	ranAlone bool
+	// trial says that the dispatcher admitted a suspect, which leave must end.
+	trial bool
 }
 
 func refusal(req Request, code result.Code, detail string) Answer {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/quarantine"
@@ -116,6 +117,7 @@
 	refused := false
 	defer func() { d.remote.release(slot, refused) }()
 	if !d.links.wait(ctx, c.region, len(req.Body), req.Deadline) {
+		d.log.Emit(events.LinkLimitReached, events.Region(c.region))
 		return refusal(req, result.LinkLimit, "link to region "+string(c.region))
 	}
 	req.GrantID, req.GrantIncarnation = slot.ID.Sequence, slot.ID.Incarnation
@@ -123,6 +125,9 @@
 		if host.Host == slot.Dispatcher {
 			answer := d.passOn(ctx, req, host)
 			refused = answer.Code == result.NoGrant
+			if refused {
+				d.log.Emit(events.GrantRefused, events.Region(c.region), events.Service(req.Service), events.Code(answer.Code))
+			}
 			return answer
 		}
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -32,12 +32,10 @@
 	if refused != nil {
 		return refusal(req, refused.Code, refused.Detail)
 	}
-	if alone {
-		defer d.guard.leave(req)
-	}
 	item := admission.Item{Rank: req.Rank, Deadline: req.Deadline, Alone: alone}
 	answer := s.serve(ctx, req, holder, item, moved)
 	answer.Load = s.load(req.Rank)
+	answer.trial = alone
 	return answer
 }
 
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -279,6 +279,9 @@
 		s.moved--
 	}
 	s.table.Release(now, r.server, outcomeOf(code))
+	if code == result.ServerShed {
+		s.log.Emit(events.ServerShedding, events.Server(r.server), events.Count(1))
+	}
 	if r.local {
 		s.ledger.FinishLocal()
 	} else if r.grantID != (grant.ID{}) {
