--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,11 +47,6 @@
 	Build       func(Base) Runner
 }
 
-// Main runs the daemon that build returns and exits with its status.
-func Main(name, usage string, build func(*settings.Settings) Runner) {
-	Run(Program{Name: name, Usage: usage, Build: func(b Base) Runner { return build(b.Settings) }})
-}
-
 // Run runs the program until SIGTERM or an interrupt and exits with its status.
 func Run(p Program) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
