Drop derived state and twins in the dispatcher

Cause: reading the whole change found a count of moved requests that the limiter already keeps, a cancellation cause that nothing reads, the same expiry loop and list of schedulers twice, a health check that took one lock four times, pickers that kept hosts which had left, three upload floods written twice in the process tests, and two functions without users.

Change: movecap.Limiter.Use, one expire and one allSchedulers, one locked section per health check, balancer.keep on each view, startFlood for all floods. grant.Wallet.DropOthers and result.ParseClass are gone. No check or bound of a test changed.

--- a/internal/e2e/flood_test.go
+++ b/internal/e2e/flood_test.go
@@ -11,10 +11,10 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/standin"
 )
 
-// startFlood keeps workers busy that send requests of one rank to every host,
-// far beyond the slots of the fleet. It returns a function that ends it and
+// startFlood keeps workers busy that send requests of one rank to the hosts, far
+// beyond the slots of the fleet. It returns a function that ends it and
 // reports how many requests got no answer of a known class.
-func (f *fleet) startFlood(rank string, workers int) (stop func() (sent, unanswered int64)) {
+func (f *fleet) startFlood(rank string, workers int, hosts []*host) (stop func() (sent, unanswered int64)) {
 	var sent, unanswered atomic.Int64
 	ctx, cancel := context.WithCancel(context.Background())
 	caller := f.caller()
@@ -22,7 +22,7 @@
 	for w := range workers {
 		group.Go(func() {
 			call := standin.Call{Service: "booking-desk", Rank: rank, Idempotent: true, Deadline: 5 * time.Second, Body: "flood"}
-			target := f.hosts[w%len(f.hosts)]
+			target := hosts[w%len(hosts)]
 			for i := 0; ctx.Err() == nil; i++ {
 				sent.Add(1)
 				got, err := caller.Send(context.Background(), target.callers, fmt.Sprintf("%s-%d-%d", rank, w, i), target.region, call)
@@ -39,14 +39,26 @@
 	}
 }
 
-// checkFlood floods with one rank while bookings and checks go on. want is the
-// share of the others that must be served, from the design's targets.
-func checkFlood(t *testing.T, rank string, want float64) {
+const floodWorkers = 128
+
+// newFloodFleet starts a fleet whose slots a flood fills.
+func newFloodFleet(t *testing.T) *fleet {
+	t.Helper()
 	s := defaultSpec()
 	s.serviceTime = 20 * time.Millisecond
 	f := newFleet(t, s)
 	f.waitReady(len(f.hosts))
-	stop := f.startFlood(rank, 128)
+	return f
+}
+
+// wantServed is the share of purchases and bookings that the design keeps.
+const wantServed = 0.99
+
+// Guards against bookings and checks that are lost in a flood of uploads, and
+// against uploads that end without an answer.
+func TestUploadFloodLeavesOtherWork(t *testing.T) {
+	f := newFloodFleet(t)
+	stop := f.startFlood("upload", floodWorkers, f.hosts)
 	l := f.startLoad(4, 5*time.Millisecond)
 	const others = 300
 	f.waitFor("other requests went on", func() bool { return l.sent.Load() > others })
@@ -56,30 +68,23 @@
 	if unanswered > 0 {
 		t.Errorf("%d of %d flood requests got no answer", unanswered, sent)
 	}
-	if float64(l.served.Load()) < want*float64(l.sent.Load()) {
-		t.Errorf("%d of %d other requests served, want %g", l.served.Load(), l.sent.Load(), want)
+	if float64(l.served.Load()) < wantServed*float64(l.sent.Load()) {
+		t.Errorf("%d of %d other requests served, want %g", l.served.Load(), l.sent.Load(), wantServed)
 		t.Log(l.failures)
 	}
 }
 
-// Guards against bookings and checks that are lost in a flood of uploads, and
-// against uploads that end without an answer.
-func TestUploadFloodLeavesOtherWork(t *testing.T) { checkFlood(t, "upload", 0.99) }
-
 // Guards against bookings that starve behind a flood of checks.
 func TestCheckFloodLeavesBookings(t *testing.T) {
-	s := defaultSpec()
-	s.serviceTime = 20 * time.Millisecond
-	f := newFleet(t, s)
-	f.waitReady(len(f.hosts))
-	stop := f.startFlood("check", 128)
+	f := newFloodFleet(t)
+	stop := f.startFlood("check", floodWorkers, f.hosts)
 	o := newOutcomes()
 	f.bookDuringFault(o, func() {})
 	_, unanswered := stop()
 	f.checkBookings(o)
-	const bookings, want = 320, 0.99
-	if float64(len(o.served)) < want*bookings {
-		t.Errorf("%d of %d bookings served, want %g", len(o.served), bookings, want)
+	const bookings = 320
+	if float64(len(o.served)) < wantServed*bookings {
+		t.Errorf("%d of %d bookings served, want %g", len(o.served), bookings, wantServed)
 	}
 	if unanswered > 0 {
 		t.Errorf("%d flood requests got no answer", unanswered)
--- a/internal/e2e/pairs_test.go
+++ b/internal/e2e/pairs_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -119,30 +118,12 @@
 // A flood in the region that takes over: guards against moved checks that
 // starve behind uploads.
 func TestRegionLossDuringUploadFlood(t *testing.T) {
-	s := defaultSpec()
-	s.serviceTime = 20 * time.Millisecond
-	f := newFleet(t, s)
-	f.waitReady(len(f.hosts))
-	stop := make(chan struct{})
-	var flood sync.WaitGroup
-	caller := f.caller()
-	for w := range 64 {
-		flood.Go(func() {
-			call := standin.Call{Service: "booking-desk", Rank: "upload", Idempotent: true, Deadline: 5 * time.Second, Body: "photo"}
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				_, _ = caller.Send(t.Context(), f.hosts[w%2].callers, fmt.Sprintf("upload-%d-%d", w, i), "bagmati", call)
-			}
-		})
-	}
+	f := newFloodFleet(t)
+	const workers = 64
+	stop := f.startFlood("upload", workers, f.hosts[:2])
 	f.loseRegion("gandaki")
 	f.waitReady(len(f.hosts) / 2)
 	f.waitServed("10.2.7.0/24")
 	f.waitServed("10.1.7.0/24")
-	close(stop)
-	flood.Wait()
+	stop()
 }
--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -42,6 +42,19 @@
 	return ordered
 }
 
+// keep forgets hosts that the view no longer has.
+func (b *balancer) keep(hosts []model.HostRecord) {
+	current := make(map[model.HostID]bool, len(hosts))
+	for _, h := range hosts {
+		current[h.Host] = true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.pickers {
+		p.Keep(current)
+	}
+}
+
 func (b *balancer) sent(key pickerKey, id model.HostID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,6 +117,12 @@
 	return d.schedulers[service]
 }
 
+func (d *dispatcher) allSchedulers() []*scheduler {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.schedulers))
+}
+
 func (d *dispatcher) currentView() *localstate.View {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -124,13 +132,7 @@
 // tick drives what depends on time alone: warming servers, expired grants and
 // expired requests.
 func (d *dispatcher) tick(now time.Time) {
-	d.mu.Lock()
-	all := make([]*scheduler, 0, len(d.schedulers))
-	for _, s := range d.schedulers {
-		all = append(all, s)
-	}
-	d.mu.Unlock()
-	for _, s := range all {
+	for _, s := range d.allSchedulers() {
 		s.tick(now)
 	}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -7,7 +7,6 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/backend"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/pkg/admission"
-	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
 	"github.com/wisteriacrank/wisteriacrank/pkg/grant"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/quarantine"
@@ -79,9 +78,7 @@
 		if again == nil {
 			return answer
 		}
-		// A preempted request was admitted before, so the limit does not refuse
-		// it now.
-		s.waits.waiting.Add(1)
+		s.waits.enterAgain()
 		waiter, preempted = again, true
 	}
 }
@@ -117,8 +114,8 @@
 // execute runs the request on its server. A preempted run returns a new
 // pending instead of an answer.
 func (s *scheduler) execute(ctx context.Context, req Request, r *run) (Answer, *pending) {
-	runCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	if req.Idempotent {
 		s.allowPreemption(r, cancel)
 	}
@@ -134,7 +131,7 @@
 	}, s.answerTimeout())
 	again := s.finish(time.Now(), r, got.Code)
 	if got.Draining {
-		s.observe(time.Now(), r.server, drain.AnswerHeader, true, r.since)
+		s.announced(time.Now(), r.server, r.since)
 	}
 	return Answer{
 		RequestID:     req.ID,
--- a/internal/entry/run_test.go
+++ b/internal/entry/run_test.go
@@ -28,7 +28,7 @@
 		s.drains.Observe(r.server, 0, true, time.Now())
 		s.stopping++
 		r.preempted = true
-		r.cancel(errPreempted)
+		r.cancel()
 		r.cancel = nil
 		t.Logf("preempted item %d", id)
 	}
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -20,9 +19,6 @@
 	"github.com/wisteriacrank/wisteriacrank/pkg/slots"
 )
 
-// errPreempted cancels a run in favour of more urgent work.
-var errPreempted = errors.New("preempted by more urgent work")
-
 // scheduler runs the requests of one service on the servers of this host. It
 // serializes access to the decision packages and is safe for concurrent use.
 type scheduler struct {
@@ -39,14 +35,12 @@
 	// leavingSince has the servers that leave.
 	leavingSince map[model.ServerID]time.Time
 	refusals     refusalMeter
-	// moved counts the requests whose home region is another one.
-	moved   int
-	queue   *admission.Queue
-	table   *slots.Table
-	ledger  *grant.Ledger
-	moves   *movecap.Limiter
-	conns   connections
-	watches map[model.ServerID]context.CancelFunc
+	queue        *admission.Queue
+	table        *slots.Table
+	ledger       *grant.Ledger
+	moves        *movecap.Limiter
+	conns        connections
+	watches      map[model.ServerID]context.CancelFunc
 	// failing has the servers whose latest health check failed.
 	failing  map[model.ServerID]bool
 	specs    map[model.ServerID]document.Server
@@ -77,7 +71,7 @@
 	grantID grant.ID
 	moved   bool
 	// cancel is set while the run may be preempted.
-	cancel    context.CancelCauseFunc
+	cancel    context.CancelFunc
 	preempted bool
 }
 
@@ -132,15 +126,20 @@
 func (s *scheduler) tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, item := range s.queue.Expire(now) {
-		s.refuse(item.ID, result.DeadlineBefore)
-	}
+	s.expire(now)
 	for name := range s.specs {
 		s.applyDrain(now, name)
 	}
 	s.pump(now)
 }
 
+// expire refuses what waited past its deadline. The caller holds the mutex.
+func (s *scheduler) expire(now time.Time) {
+	for _, item := range s.queue.Expire(now) {
+		s.refuse(item.ID, result.DeadlineBefore)
+	}
+}
+
 // load is reported with every answer: what waits in the rank of the request.
 // Work of other ranks says little about its wait.
 func (s *scheduler) load(rank model.Rank) balance.Load {
@@ -180,9 +179,7 @@
 		defer s.mu.Unlock()
 		s.waking = false
 		now := time.Now()
-		for _, item := range s.queue.Expire(now) {
-			s.refuse(item.ID, result.DeadlineBefore)
-		}
+		s.expire(now)
 		s.pump(now)
 	})
 }
@@ -227,9 +224,6 @@
 	}
 	r := &run{item: item, server: server, conn: s.conns[server], since: now, moved: moved}
 	s.running[item.ID] = r
-	if moved {
-		s.moved++
-	}
 	return r, true
 }
 
@@ -264,7 +258,7 @@
 	s.stopping++
 	r := s.running[id]
 	r.preempted = true
-	r.cancel(errPreempted)
+	r.cancel()
 	r.cancel = nil
 }
 
@@ -275,9 +269,6 @@
 	defer s.mu.Unlock()
 	delete(s.running, r.item.ID)
 	s.finishMove(now, r.moved)
-	if r.moved {
-		s.moved--
-	}
 	s.table.Release(now, r.server, outcomeOf(code))
 	if code == result.ServerShed {
 		s.log.Emit(events.ServerShedding, events.Server(r.server), events.Count(1))
@@ -355,7 +346,7 @@
 }
 
 // allowPreemption lets the queue cancel the run.
-func (s *scheduler) allowPreemption(r *run, cancel context.CancelCauseFunc) {
+func (s *scheduler) allowPreemption(r *run, cancel context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.cancel = cancel
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -67,43 +67,39 @@
 // after it did not has restarted, and what it said before no longer counts.
 func (s *scheduler) checked(now time.Time, name model.ServerID, status backend.Status, err error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	spec, known := s.specs[name]
-	failedBefore := s.failing[name]
-	if known {
-		s.failing[name] = err != nil
-	}
-	s.mu.Unlock()
 	if !known {
 		return
 	}
+	failedBefore := s.failing[name]
+	s.failing[name] = err != nil
 	if err != nil {
 		s.log.Emit(events.ServerUnreachable, events.Server(name), events.Address(spec.Address), events.Reason(err))
 		return
 	}
 	if failedBefore {
-		s.restarted(now, name)
+		s.drains.Restarted(name, now)
+		s.table.SetCold(now, name)
 	}
-	s.observe(now, name, drain.Health, status.Draining, now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.learnDrain(now, name, drain.Health, status.Draining, now)
 	s.table.Report(now, name, status.Busy)
 	s.pump(now)
 }
 
-func (s *scheduler) restarted(now time.Time, name model.ServerID) {
+// announced takes the statement of an answer that its server leaves. sent is
+// when its request was sent.
+func (s *scheduler) announced(now time.Time, name model.ServerID, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.drains.Restarted(name, now)
-	s.table.SetCold(now, name)
+	if _, known := s.specs[name]; known {
+		s.learnDrain(now, name, drain.AnswerHeader, true, sent)
+	}
 }
 
-// observe takes a statement about a server's drain.
-func (s *scheduler) observe(now time.Time, name model.ServerID, source drain.Source, leaving bool, at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.specs[name]; !ok {
-		return
-	}
+// learnDrain takes a statement about a server's drain. The caller holds the
+// mutex.
+func (s *scheduler) learnDrain(now time.Time, name model.ServerID, source drain.Source, leaving bool, at time.Time) {
 	before := s.drains.MayUse(name, now)
 	s.drains.Observe(name, source, leaving, at)
 	if before && !s.drains.MayUse(name, now) {
--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -101,6 +101,7 @@
 	}
 	d.dispatcher.update(view)
 	d.links.update(view)
+	d.balancer.keep(view.Hosts)
 	d.lifecycle.configured(view.Document.Environment.CacheTime)
 }
 
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -48,14 +48,8 @@
 
 // statusJSON describes the work of this host for operators.
 func (d *dispatcher) statusJSON(now time.Time) []byte {
-	d.mu.Lock()
-	all := make(map[model.Service]*scheduler, len(d.schedulers))
-	for name, s := range d.schedulers {
-		all[name] = s
-	}
-	d.mu.Unlock()
 	var details operator.HostDetails
-	for _, s := range all {
+	for _, s := range d.allSchedulers() {
 		s.describe(now, &details)
 	}
 	d.guard.describe(now, d.region, &details)
@@ -89,7 +83,7 @@
 	region, service := string(s.region), string(s.service.Name)
 	s.describeDrains(now, details)
 	if s.moves.Limit(now) > 0 {
-		details.Moves = append(details.Moves, operator.MoveStatus{Region: region, Home: everyName, InUse: s.moved, Limit: s.moves.Limit(now)})
+		details.Moves = append(details.Moves, operator.MoveStatus{Region: region, Home: everyName, InUse: s.moves.Use(), Limit: s.moves.Limit(now)})
 	}
 	if reserved := s.ledger.Reserved(now); reserved > 0 {
 		details.Grants = append(details.Grants, operator.GrantStatus{Region: region, To: everyName, Service: service, Slots: reserved})
--- a/internal/entry/waitlimit.go
+++ b/internal/entry/waitlimit.go
@@ -21,4 +21,8 @@
 	return true
 }
 
+// enterAgain counts a request that the limit admitted before, such as a
+// preempted one. leave must follow.
+func (w *waitLimit) enterAgain() { w.waiting.Add(1) }
+
 func (w *waitLimit) leave() { w.waiting.Add(-1) }
--- a/pkg/grant/wallet.go
+++ b/pkg/grant/wallet.go
@@ -84,13 +84,6 @@
 	w.held = slices.DeleteFunc(w.held, func(h *held) bool { return h.id == id })
 }
 
-// DropOthers removes grants of earlier incarnations of a dispatcher.
-func (w *Wallet) DropOthers(dispatcher model.HostID, current model.Incarnation) {
-	w.held = slices.DeleteFunc(w.held, func(h *held) bool {
-		return h.dispatcher == dispatcher && h.id.Incarnation != current
-	})
-}
-
 // Room returns the unused slots for a service.
 func (w *Wallet) Room(now time.Time, service model.Service) int {
 	w.expire(now)
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -29,16 +29,6 @@
 	return classNames[c]
 }
 
-// ParseClass reads the value of the Wisteria-Class header.
-func ParseClass(s string) (Class, error) {
-	for i, name := range classNames {
-		if name == s && i != int(ClassInvalid) {
-			return Class(i), nil
-		}
-	}
-	return ClassInvalid, fmt.Errorf("result class %q is not known", s)
-}
-
 // Result codes.
 const (
 	Served       Code = 100
