--- /dev/null
+++ b/internal/callers/server.go
@@ -0,0 +1,159 @@
+// Package callers serves HTTP/1.1 connections of callers. It reads the
+// requests of a connection ahead of their answers, runs them concurrently and
+// writes the answers in order, which the pipelining of callers needs.
+//
+// A request's context ends when its caller closes the connection.
+package callers
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Request is one request with its whole body.
+type Request struct {
+	*http.Request
+	Body []byte
+	// Target is the request target as the caller sent it.
+	Target string
+	// Received is when the header was complete.
+	Received time.Time
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Close ends the connection after the answer.
+	Close bool
+}
+
+// Handler answers one request. It is called concurrently.
+type Handler func(ctx context.Context, req *Request) Answer
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Server serves the connections of one listener.
+type Server struct {
+	handler Handler
+	limits  func() Limits
+	// refused counts requests that were answered without the handler.
+	refused atomic.Int64
+
+	draining atomic.Bool
+	memory   *memoryBudget
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// NewServer returns a server. limits is read for every request. bodyMemory
+// bounds the bytes of request bodies that are held at the same time.
+func NewServer(handler Handler, limits func() Limits, bodyMemory int64) *Server {
+	return &Server{handler: handler, limits: limits, memory: &memoryBudget{free: bodyMemory}, conns: make(map[*conn]struct{})}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	const acceptPause = 20 * time.Millisecond // out of descriptors: wait for some to be closed
+	for {
+		raw, err := l.Accept()
+		var temporary net.Error
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.As(err, &temporary):
+			time.Sleep(acceptPause)
+			continue
+		case err != nil:
+			return err
+		}
+		c := newConn(s, raw)
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			c.serve()
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// Drain makes the next answer of each connection its last one.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// CloseIdle closes the connections that have no request in flight, and the
+// others after their answers.
+func (s *Server) CloseIdle() {
+	s.Drain()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.stopReading()
+	}
+}
+
+// Wait returns when all connections are closed or the time is over.
+func (s *Server) Wait(limit time.Duration) bool {
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Refused returns the number of requests that broke the limits.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
+// memoryBudget bounds the bytes of request bodies in memory.
+type memoryBudget struct {
+	mu   sync.Mutex
+	free int64
+}
+
+func (b *memoryBudget) take(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.free < n {
+		return false
+	}
+	b.free -= n
+	return true
+}
+
+func (b *memoryBudget) give(n int64) {
+	b.mu.Lock()
+	b.free += n
+	b.mu.Unlock()
+}
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -31,6 +31,8 @@
 	FieldPeer        Name = "peer"
 	FieldAuthor      Name = "author"
 	FieldReason      Name = "reason"
+	FieldRequest     Name = "request"
+	FieldSubject     Name = "subject"
 )
 
 // Field is one typed value of a log line.
@@ -95,6 +97,12 @@
 	return Field{FieldReason, line(err.Error())}
 }
 
+// Request names a request by its ID.
+func Request(id string) Field { return Field{FieldRequest, line(id)} }
+
+// Subject names what an event is about by its kind and name.
+func Subject(s string) Field { return Field{FieldSubject, line(s)} }
+
 // maxTextBytes bounds a text field, because errors may quote input.
 const maxTextBytes = 200
 
--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -43,11 +43,24 @@
 	GrantRefused      ID = 1314
 	RecordTableFull   ID = 1315
 	ResponseDropped   ID = 1316
+	ServerAdded       ID = 1317
+	ServerRemoved     ID = 1318
+	ServerReachable   ID = 1319
+	ServerCold        ID = 1320
+	DomainEvacuated   ID = 1321
+	DomainReleased    ID = 1322
+
+	RequestGranted ID = 1330
+	RequestResent  ID = 1331
+	RequestEnded   ID = 1332
+	LinesDropped   ID = 1333
 
 	StoreCallFailed  ID = 1400
 	StoreReached     ID = 1401
 	StoreWriteUnsure ID = 1402
 	HostListStale    ID = 1403
+	StoreHistoryGone ID = 1404
+	EntrySkipped     ID = 1405
 
 	PromotionAccepted ID = 1500
 	PromotionRefused  ID = 1501
@@ -111,10 +124,23 @@
 	{GrantRefused, logrus.WarnLevel, "grant-refused", fields(FieldRegion, FieldService, FieldCode), "A dispatcher refused work or capacity."},
 	{RecordTableFull, logrus.ErrorLevel, "record-table-full", fields(FieldCount), "New non-idempotent requests are refused until records expire."},
 	{ResponseDropped, logrus.WarnLevel, "response-dropped", fields(FieldService, FieldCode, FieldReason), "A truncated or foreign response was not passed on."},
-
-	{StoreCallFailed, logrus.WarnLevel, "store-call-failed", fields(FieldReason, FieldElapsed), "A call to the store failed; it is repeated with backoff."},
+	{ServerAdded, logrus.InfoLevel, "server-added", fields(FieldServer, FieldService, FieldDomain), "A backend server joined the list."},
+	{ServerRemoved, logrus.InfoLevel, "server-removed", fields(FieldServer, FieldService), "A backend server left the list and gets no new work."},
+	{ServerReachable, logrus.InfoLevel, "server-reachable", fields(FieldServer), "A probe of the backend server succeeded; it gets work again."},
+	{ServerCold, logrus.InfoLevel, "server-cold", fields(FieldServer, FieldElapsed), "The backend server is cold for this long and gets few requests."},
+	{DomainEvacuated, logrus.InfoLevel, "domain-evacuated", fields(FieldDomain), "The servers of the failure domain get no new work."},
+	{DomainReleased, logrus.InfoLevel, "domain-released", fields(FieldDomain), "The servers of the failure domain get work again; they are taken for cold."},
+
+	{RequestGranted, logrus.DebugLevel, "request-granted", fields(FieldRequest, FieldService, FieldServer, FieldGeneration, FieldReason), "A backend server was chosen for a request; the reason has the key, the load and the expected time."},
+	{RequestResent, logrus.InfoLevel, "request-resent", fields(FieldRequest, FieldServer, FieldReason), "A request goes to another backend server after this failure."},
+	{RequestEnded, logrus.InfoLevel, "request-ended", fields(FieldRequest, FieldService, FieldServer, FieldCode, FieldGeneration, FieldElapsed, FieldReason), "A request got an answer other than success."},
+	{LinesDropped, logrus.WarnLevel, "lines-dropped", fields(FieldCount), "Log lines that were dropped because the output was not read fast enough."},
+
+	{StoreCallFailed, logrus.WarnLevel, "store-call-failed", fields(FieldSubject, FieldReason, FieldElapsed), "A call to the store failed; it is repeated with backoff."},
 	{StoreReached, logrus.InfoLevel, "store-reached", fields(FieldElapsed), "The store answers again after an outage of this length."},
 	{StoreWriteUnsure, logrus.WarnLevel, "store-write-unsure", fields(FieldEnvironment, FieldReason), "The answer to a write was lost and reading back did not tell whether it took effect."},
+	{StoreHistoryGone, logrus.InfoLevel, "store-history-gone", fields(FieldSubject), "A watch has to start again with a listing."},
+	{EntrySkipped, logrus.WarnLevel, "entry-skipped", fields(FieldSubject, FieldReason), "An entry of the store cannot be read and is left out; the others hold."},
 	{HostListStale, logrus.WarnLevel, "host-list-stale", fields(FieldElapsed), "The platform's host list could not be read for this long."},
 
 	{PromotionAccepted, logrus.InfoLevel, "promotion-accepted", fields(FieldEnvironment, FieldGeneration, FieldAuthor), "A document was written to the store."},
--- /dev/null
+++ b/internal/host/dispatch.go
@@ -0,0 +1,195 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
+	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/scheduler"
+)
+
+const (
+	// tickInterval is the step in which waiting requests are looked at again:
+	// a small part of the shortest target latency.
+	tickInterval = 40 * time.Millisecond
+	// firstProbe and maxProbe bound the pause between probes of a server that
+	// cannot be reached.
+	firstProbe = 300 * time.Millisecond
+	maxProbe   = 2 * time.Second
+	// probeTimeout bounds one probe; it may wait for a slot.
+	probeTimeout = 3 * time.Second
+)
+
+// dispatch waits until the scheduler has decided on a job. The verdict has
+// neither a server nor a refusal if the context ended first.
+func (h *Host) dispatch(ctx context.Context, job *scheduler.Job) (scheduler.Verdict, *scheduler.Job) {
+	decided := make(chan scheduler.Verdict, 1)
+	h.mu.Lock()
+	h.waiters[job] = decided
+	h.deliver(h.scheduler.Submit(time.Now(), job))
+	h.tickWhileWaiting()
+	h.mu.Unlock()
+	select {
+	case v := <-decided:
+		return v, job
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case v := <-decided:
+		return v, job
+	default:
+	}
+	delete(h.waiters, job)
+	h.deliver(h.scheduler.Cancel(time.Now(), job))
+	return scheduler.Verdict{Job: job}, job
+}
+
+// deliver hands verdicts to their requests. It is called with the lock held.
+func (h *Host) deliver(verdicts []scheduler.Verdict) {
+	for _, v := range verdicts {
+		if waiter := h.waiters[v.Job]; waiter != nil {
+			delete(h.waiters, v.Job)
+			waiter <- v
+		}
+	}
+}
+
+// tickWhileWaiting lets time pass for waiting jobs. It is called with the lock
+// held; without waiting jobs the host does not wake up.
+func (h *Host) tickWhileWaiting() {
+	if h.ticking || h.scheduler.Waiting() == 0 {
+		return
+	}
+	h.ticking = true
+	time.AfterFunc(tickInterval, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.ticking = false
+		h.deliver(h.scheduler.Tick(time.Now()))
+		h.tickWhileWaiting()
+	})
+}
+
+// done reports the end of an attempt.
+func (h *Host) done(job *scheduler.Job, outcome scheduler.Result, load *scheduler.Load) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deliver(h.scheduler.Done(time.Now(), job, outcome, load))
+}
+
+// exchange sends a request to a server and reads its answer.
+func (h *Host) exchange(ctx context.Context, server string, req upstream.Request) (*upstream.Answer, error) {
+	h.mu.Lock()
+	b := h.backends[server]
+	h.mu.Unlock()
+	if b == nil {
+		return nil, &upstream.Failure{Err: errors.New("server has left the list")}
+	}
+	return b.pool.Do(ctx, req, func(took time.Duration) { h.dialed(server, took) })
+}
+
+// dialed learns the delay to the server's region.
+func (h *Host) dialed(server string, took time.Duration) {
+	h.Metrics.Add("server_connections", 1)
+	listed, ok := h.reader.View().Servers[server]
+	if !ok {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.scheduler.MeasureDelay(listed.Region, took)
+}
+
+// noteCold takes a server's own word that it is cold.
+func (h *Host) noteCold(server string, left time.Duration) {
+	view := h.reader.View()
+	listed, ok := view.Servers[server]
+	if !ok {
+		return
+	}
+	h.Log.Emit(events.ServerCold, events.Server(model.ServerID(server)), events.Elapsed(left))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.scheduler.SetCold(server, time.Now().Add(left), h.coldLimit(view, listed))
+}
+
+// unreachable takes a server out until a probe succeeds.
+func (h *Host) unreachable(server string, cause error) {
+	h.mu.Lock()
+	b := h.backends[server]
+	start := b != nil && !b.probing && h.scheduler.SetDown(server)
+	if start {
+		b.probing = true
+	}
+	h.mu.Unlock()
+	if !start {
+		return
+	}
+	h.Log.Emit(events.ServerUnreachable, events.Server(model.ServerID(server)), events.Address(b.address), events.Reason(cause))
+	go h.probeUntilUp(server, b)
+}
+
+// probeUntilUp asks a server for its health until it is well or has left.
+func (h *Host) probeUntilUp(server string, b *backend) {
+	for pause := firstProbe; ; pause = min(2*pause, maxProbe) {
+		time.Sleep(pause)
+		h.mu.Lock()
+		current := h.backends[server]
+		h.mu.Unlock()
+		if current != b {
+			// The server has left, or started again: its entry says more.
+			h.restored(server, b, 0)
+			return
+		}
+		if left, ok := h.probe(server, b); ok {
+			h.restored(server, b, left)
+			return
+		}
+	}
+}
+
+// probe reports whether the server is well, and how long it stays cold.
+func (h *Host) probe(server string, b *backend) (cold time.Duration, ok bool) {
+	view := h.reader.View()
+	listed, known := view.Servers[server]
+	service := serviceOf(view, listed.Service)
+	if !known || service == nil || listed.State != fleet.Ready {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	answer, err := b.pool.Do(ctx, upstream.Request{
+		Method:  http.MethodGet,
+		Target:  service.HealthPath,
+		Host:    b.address,
+		Header:  http.Header{},
+		Belongs: func(http.Header) upstream.Ownership { return upstream.Own },
+	}, func(time.Duration) {})
+	h.Metrics.Add("probes", 1)
+	if err != nil {
+		return 0, false
+	}
+	report := h.Protocol.DecodeAnswer(answer.Status, answer.Header)
+	if report.Server != "" && report.Server != server {
+		return 0, false
+	}
+	return report.ColdFor, answer.Status == http.StatusOK
+}
+
+func (h *Host) restored(server string, b *backend, cold time.Duration) {
+	h.mu.Lock()
+	b.probing = false
+	h.scheduler.SetUp(server)
+	h.mu.Unlock()
+	if cold > 0 {
+		h.noteCold(server, cold)
+	}
+	h.Log.Emit(events.ServerReachable, events.Server(model.ServerID(server)))
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,210 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/callers"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
+	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
+	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
+	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
+	"github.com/wisteriacrank/wisteriacrank/pkg/scheduler"
+)
+
+const (
+	// lookupTTL is how long callers keep a look-up; some keep it three times
+	// as long. It bounds how long a stopping host still gets requests.
+	lookupTTL = time.Second
+	// lookupLinger is the time from a stop signal until no caller uses this
+	// host any more: the longest use of a look-up, and a little.
+	lookupLinger = 3*lookupTTL + 300*time.Millisecond
+	// stopMargin is kept before the kill.
+	stopMargin = 700 * time.Millisecond
+	// bodyMemoryShare is the share of the memory that request bodies may take.
+	bodyMemoryShare = 0.25
+	// defaultBodyTimeout bounds how long a caller may take to send a body.
+	defaultBodyTimeout = 10 * time.Second
+)
+
+// Store is what a host needs of the platform's store.
+type Store interface {
+	inventory.Source
+	Put(ctx context.Context, c inventory.Collection, name string, body any) error
+	Delete(ctx context.Context, c inventory.Collection, name string) error
+}
+
+// Base is what a host is built from.
+type Base struct {
+	Settings *Settings
+	Protocol Protocol
+	Store    Store
+	Decoder  inventory.Decoder
+	Log      *events.Log
+	Metrics  *metrics.Registry
+}
+
+// Host is the program of one entry host.
+type Host struct {
+	Base
+	started time.Time
+	reader  *inventory.Reader
+	entry   *callers.Server
+	stops   atomic.Bool
+
+	// mu guards the scheduler and what belongs to its servers.
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	waiters   map[*scheduler.Job]chan scheduler.Verdict
+	ticking   bool
+	backends  map[string]*backend
+	retries   map[string]*retryBudget
+	splits    map[string]*splitter
+
+	rosterMu sync.Mutex
+	roster   *roster.Roster
+	// slots is the number of slots of all servers, for the number of entry hosts.
+	slots atomic.Int64
+}
+
+// backend is a server with its connections.
+type backend struct {
+	address string
+	born    int64
+	pool    *upstream.Pool
+	probing bool
+	// coldRevision is the revision of the entry that was first seen at
+	// coldSeen; how long a server stays cold counts from there.
+	coldRevision uint64
+	coldSeen     time.Time
+}
+
+// New returns a host that is not running yet.
+func New(base Base) *Host {
+	s := base.Settings
+	h := &Host{
+		Base:      base,
+		started:   time.Now(),
+		scheduler: scheduler.New(s.Region),
+		waiters:   make(map[*scheduler.Job]chan scheduler.Verdict),
+		backends:  make(map[string]*backend),
+		retries:   make(map[string]*retryBudget),
+		splits:    make(map[string]*splitter),
+	}
+	self := roster.Beat{
+		ID:            s.ID,
+		Incarnation:   uint64(h.started.UnixMilli()),
+		Region:        s.Region,
+		Domain:        s.Domain,
+		PeerAddress:   s.Listen.Peers,
+		CallerAddress: s.Listen.Callers,
+	}
+	h.roster = roster.New(self, s.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	h.reader = inventory.NewReader(base.Store, base.Decoder, base.Log, time.Now, h.applyView)
+	h.entry = callers.NewServer(h.serveCall, h.callerLimits, int64(float64(s.Memory)*bodyMemoryShare))
+	return h
+}
+
+// callerLimits returns the limits of the configuration in force.
+func (h *Host) callerLimits() callers.Limits {
+	limits := callers.Limits{
+		MaxHeaderBytes: 16 << 10,
+		MaxBodyBytes:   64 << 20,
+		HeaderTimeout:  3 * time.Second,
+		BodyTimeout:    defaultBodyTimeout,
+		IdleTimeout:    15 * time.Second,
+	}
+	config := h.reader.View().Config
+	if config == nil {
+		return limits
+	}
+	if config.Limits.MaxHeaderBytes > 0 {
+		limits.MaxHeaderBytes = config.Limits.MaxHeaderBytes
+	}
+	if config.Limits.MaxBodyBytes > 0 {
+		limits.MaxBodyBytes = config.Limits.MaxBodyBytes
+	}
+	if config.Limits.HeaderTimeout > 0 {
+		limits.HeaderTimeout = config.Limits.HeaderTimeout
+	}
+	if config.Limits.IdleTimeout > 0 {
+		limits.IdleTimeout = config.Limits.IdleTimeout
+	}
+	return limits
+}
+
+// Run serves until ctx ends, and then until the callers have left.
+func (h *Host) Run(ctx context.Context) error {
+	// The state is followed until the last request is answered.
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	lookups := callers.NewServer(h.serveLookup, h.callerLimits, 0)
+	readiness := callers.NewServer(h.serveReady, h.callerLimits, 0)
+	listeners, err := listenAll(h.Settings.Listen.Callers, h.Settings.Listen.Lookup, h.Settings.Listen.Ready)
+	if err != nil {
+		return err
+	}
+	for i, server := range []*callers.Server{h.entry, lookups, readiness} {
+		group.Go(func() error { return server.Serve(listeners[i]) })
+	}
+	group.Go(func() error { return h.servePeers(work) })
+	group.Go(func() error { h.reader.Run(work); return nil })
+	group.Go(func() error { h.maintain(work); return nil })
+	group.Go(func() error { h.register(work); return nil })
+	if h.Settings.Listen.Metrics != "" {
+		group.Go(func() error { return h.serveMetrics(work) })
+	}
+	group.Go(func() error {
+		select {
+		case <-work.Done():
+		case <-ctx.Done():
+			h.stop(listeners[0])
+		}
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+		stopWork()
+		return nil
+	})
+	return group.Wait()
+}
+
+// stop lets callers leave and answers what they have sent.
+func (h *Host) stop(entry net.Listener) {
+	began := time.Now()
+	h.Log.Emit(events.DaemonStopping, events.Subject(h.Settings.ID))
+	h.stops.Store(true)
+	h.entry.Drain()
+	h.announce()
+	limit := h.Settings.Bounds.Grace - stopMargin
+	time.Sleep(min(lookupLinger, limit/2+limit/10))
+	_ = entry.Close()
+	h.entry.CloseIdle()
+	if !h.entry.Wait(limit - time.Since(began)) {
+		h.Log.Emit(events.DaemonStopping, events.Subject("requests unfinished"))
+	}
+}
+
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
--- /dev/null
+++ b/internal/host/lookup.go
@@ -0,0 +1,128 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/callers"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+const (
+	// minEntries hosts of a region carry its requests, so that the loss of one
+	// leaves callers another address.
+	minEntries = 2
+	// slotsPerEntry is the number of server slots, of the fleet divided by its
+	// regions, for which one entry host carries the requests. The fewer hosts
+	// share the servers, the more each of them knows of their load.
+	slotsPerEntry = 16
+	// maxAddresses bounds a look-up answer.
+	maxAddresses = 64
+)
+
+// peerAddresses reads the entries of hosts; those that cannot be read are left out.
+func peerAddresses(listed inventory.Batch) []string {
+	var addresses []string
+	for _, o := range listed.Objects {
+		var entry hostObject
+		if err := json.Unmarshal(o.Body, &entry); err == nil && entry.PeerAddress != "" {
+			addresses = append(addresses, entry.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+// serveLookup tells callers which hosts to use.
+func (h *Host) serveLookup(_ context.Context, req *callers.Request) callers.Answer {
+	lookup, ok := h.Protocol.DecodeLookup(req.Request)
+	if !ok {
+		return plain(http.StatusNotFound)
+	}
+	addresses := h.entryAddresses(lookup)
+	if len(addresses) == 0 {
+		return refusal(result.NotReady, notReadyRetryAfter)
+	}
+	answer, err := h.Protocol.EncodeLookup(addresses, min(lookupTTL, h.Settings.Bounds.MaxLookupTTL))
+	if err != nil {
+		h.Log.Emit(events.RequestRefused, events.Reason(err))
+		return plain(http.StatusInternalServerError)
+	}
+	h.Metrics.Add("lookups", 1)
+	return answer
+}
+
+// entryAddresses returns the entry hosts of the caller's region, or those of
+// the other regions while it has none.
+func (h *Host) entryAddresses(lookup Lookup) []string {
+	h.rosterMu.Lock()
+	defer h.rosterMu.Unlock()
+	now := time.Now()
+	h.roster.SetState(h.state(), h.configVersion())
+	addresses := h.addressesOf(now, lookup.Region)
+	if len(addresses) > 0 {
+		return addresses
+	}
+	for _, region := range h.otherRegions(lookup.Region) {
+		addresses = append(addresses, h.addressesOf(now, region)...)
+	}
+	return addresses[:min(len(addresses), maxAddresses)]
+}
+
+func (h *Host) addressesOf(now time.Time, region string) []string {
+	var addresses []string
+	for _, beat := range h.roster.Entries(now, region, h.entryCount()) {
+		addresses = append(addresses, beat.CallerAddress)
+	}
+	return addresses
+}
+
+func (h *Host) otherRegions(than string) []string {
+	var regions []string
+	for _, region := range h.Settings.RegionOf {
+		if region != than && !slices.Contains(regions, region) {
+			regions = append(regions, region)
+		}
+	}
+	slices.SortFunc(regions, strings.Compare)
+	return regions
+}
+
+// entryCount is the number of entry hosts of a region.
+func (h *Host) entryCount() int {
+	perRegion := int(h.slots.Load()) / max(h.regionCount(), 1)
+	return max(minEntries, (perRegion+slotsPerEntry-1)/slotsPerEntry)
+}
+
+// serveReady tells the platform whether this host takes requests.
+func (h *Host) serveReady(_ context.Context, req *callers.Request) callers.Answer {
+	if !h.Protocol.IsReadyCall(req.Request) {
+		return plain(http.StatusNotFound)
+	}
+	if h.stops.Load() || h.configVersion() == 0 {
+		return plain(http.StatusServiceUnavailable)
+	}
+	return plain(http.StatusOK)
+}
+
+// serveMetrics serves the metrics until ctx ends.
+func (h *Host) serveMetrics(ctx context.Context) error {
+	const headerTimeout = 5 * time.Second
+	server := &http.Server{Handler: h.Metrics.Handler(), ReadHeaderTimeout: headerTimeout}
+	listener, err := net.Listen("tcp", h.Settings.Listen.Metrics)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/host/program.go
@@ -0,0 +1,103 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
+	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
+	"github.com/wisteriacrank/wisteriacrank/pkg/inicheck"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+const (
+	// settingsVariable names the settings file if the command line does not.
+	settingsVariable = "WISTERIACRANK_CONFIG"
+	// memoryLimitShare of the memory makes the runtime collect garbage sooner,
+	// before the process is killed for using too much.
+	memoryLimitShare = 0.7
+	// gcPercent is lower than the runtime's default: memory at its peak costs
+	// more here than the processor time of collections.
+	gcPercent = 50
+)
+
+// Program is the command line of a host on one platform.
+type Program struct {
+	Name     string
+	Bounds   BoundsReader
+	Protocol Protocol
+	Store    func(address string) Store
+	Decoder  func(regionOf map[string]string) inventory.Decoder
+}
+
+// Main runs the program until a stop signal and ends the process.
+func Main(p Program) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := daemon.ExitOK
+	if err := p.command(&code).Run(ctx, os.Args); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
+		if code == daemon.ExitOK {
+			code = daemon.ExitSettings
+		}
+	}
+	stop()
+	os.Exit(code)
+}
+
+func (p Program) command(code *int) *cli.Command {
+	return &cli.Command{
+		Name:           p.Name,
+		Usage:          "answers look-ups and carries callers' requests to backend servers",
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Sources: cli.EnvVars(settingsVariable), Required: true, Usage: "settings file of this host"},
+			&cli.BoolFlag{Name: "check-config", Usage: "print the effective settings, or all faults, and exit"},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "lowest level that is logged: " + strings.Join(events.Levels(), ", ")},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error { return p.run(ctx, cmd, code) },
+	}
+}
+
+func (p Program) run(ctx context.Context, cmd *cli.Command, code *int) error {
+	level, ok := events.ParseLevel(cmd.String("log-level"))
+	if !ok {
+		return fmt.Errorf("--log-level %q; accepted: %s", cmd.String("log-level"), strings.Join(events.Levels(), ", "))
+	}
+	s, err := LoadSettings(cmd.String("config"), p.Bounds)
+	var faults inicheck.Faults
+	if errors.As(err, &faults) {
+		return fmt.Errorf("%d faults in the settings\n%w", len(faults), faults)
+	}
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("check-config") {
+		fmt.Fprintf(cmd.Root().Writer, "%+v\n", *s)
+		return nil
+	}
+	*code = daemon.ExitFailed
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryLimitShare))
+	log := events.New(os.Stdout, level, time.Now)
+	defer log.Flush()
+	log.Emit(events.DaemonStarted, events.Host(model.HostID(s.ID)), events.Region(model.Region(s.Region)), events.FailureDomain(model.FailureDomain(s.Domain)))
+	h := New(Base{Settings: s, Protocol: p.Protocol, Store: p.Store(s.StoreAddress), Decoder: p.Decoder(s.RegionOf), Log: log, Metrics: metrics.New()})
+	if err := h.Run(ctx); err != nil {
+		log.Emit(events.DaemonFailed, events.Host(model.HostID(s.ID)), events.Reason(err))
+		return err
+	}
+	log.Emit(events.DaemonStopped, events.Host(model.HostID(s.ID)), events.Elapsed(time.Since(h.started)))
+	*code = daemon.ExitOK
+	return nil
+}
--- /dev/null
+++ b/internal/host/settings.go
@@ -0,0 +1,156 @@
+package host
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/inicheck"
+)
+
+// Settings are the settings of one host.
+type Settings struct {
+	ID     string
+	Region string
+	Domain string
+	Listen Listen
+	// StoreAddress is the platform's metadata store.
+	StoreAddress string
+	// Seeds are peer addresses of other hosts; they may be stale.
+	Seeds []string
+	// Memory is what the process may use.
+	Memory int64
+	// RegionOf gives the region of each failure domain.
+	RegionOf map[string]string
+	Bounds   Bounds
+}
+
+// Listen are the addresses of a host.
+type Listen struct {
+	Callers string
+	Ready   string
+	Lookup  string
+	Peers   string
+	// Metrics is not served if it is empty.
+	Metrics string
+}
+
+// Bounds are the figures that the installation has to keep.
+type Bounds struct {
+	// RetryRatio and RetrySlack bound the repeats of all hosts together within
+	// RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ColdOver and ColdSlack bound the requests that reach a cold server in a
+	// second: its rate times ColdOver, and ColdSlack.
+	ColdOver  float64
+	ColdSlack float64
+	// Grace is the time from a stop signal to the kill.
+	Grace time.Duration
+	// MaxLookupTTL is the longest time for which a look-up counts.
+	MaxLookupTTL time.Duration
+}
+
+// BoundsReader reads bounds from their names and values.
+type BoundsReader func(values map[string]string) (Bounds, error)
+
+const (
+	sectionHost    = "host"
+	sectionListen  = "listen"
+	sectionStore   = "store"
+	sectionPeers   = "peers"
+	sectionLimits  = "limits"
+	sectionDomains = "domains"
+	sectionBounds  = "bounds"
+)
+
+var sectionNames = []string{sectionHost, sectionListen, sectionStore, sectionPeers, sectionLimits, sectionDomains, sectionBounds}
+
+const (
+	minMemory = 32 << 20 // the runtime and the connections of a quiet host
+	maxMemory = 64 << 30
+)
+
+// LoadSettings reads a settings file. The error has every fault of the file.
+func LoadSettings(path string, bounds BoundsReader) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	s, faults := CheckSettings(path, string(text), bounds)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+// CheckSettings reads settings and returns every fault.
+func CheckSettings(file, text string, bounds BoundsReader) (*Settings, inicheck.Faults) {
+	checker := inicheck.New(file)
+	sections := make(map[string]inicheck.Section)
+	for _, section := range checker.Read(text) {
+		if !slices.Contains(sectionNames, section.Name) {
+			section.Fail("", "["+strings.Join(sectionNames, "], [")+"]", "unknown section")
+			continue
+		}
+		sections[section.Name] = section
+	}
+	for _, name := range sectionNames {
+		if _, ok := sections[name]; !ok {
+			checker.Add(inicheck.Fault{File: file, Line: 1, Section: name, Problem: "section is missing"})
+		}
+	}
+	if faults := checker.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	s := read(sections)
+	var err error
+	if s.Bounds, err = bounds(values(sections[sectionBounds])); err != nil {
+		sections[sectionBounds].Fail("", "numbers", "%v", err)
+	}
+	if s.RegionOf[s.Domain] != s.Region {
+		sections[sectionHost].Fail("failure-domain", "a key of [domains] with the host's region", "failure domain %q is not in region %q", s.Domain, s.Region)
+	}
+	if faults := checker.Faults(); len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+func read(sections map[string]inicheck.Section) *Settings {
+	host, listen, peers := sections[sectionHost], sections[sectionListen], sections[sectionPeers]
+	host.Known("id", "region", "failure-domain")
+	listen.Known("callers", "ready", "lookup", "peers", "metrics")
+	s := &Settings{
+		ID:     host.Identifier("id"),
+		Region: host.Identifier("region"),
+		Domain: host.Identifier("failure-domain"),
+		Listen: Listen{
+			Callers: listen.Address("callers"),
+			Ready:   listen.Address("ready"),
+			Lookup:  listen.Address("lookup"),
+			Peers:   listen.Address("peers"),
+		},
+		StoreAddress: sections[sectionStore].Address("address"),
+		Memory:       sections[sectionLimits].Size("memory", minMemory, maxMemory),
+		RegionOf:     values(sections[sectionDomains]),
+	}
+	if listen.Has("metrics") {
+		s.Listen.Metrics = listen.Address("metrics")
+	}
+	if peers.Has("seeds") {
+		s.Seeds = peers.Addresses("seeds")
+	}
+	return s
+}
+
+func values(section inicheck.Section) map[string]string {
+	found := make(map[string]string, len(section.Keys))
+	for _, key := range section.Keys {
+		found[key.Name] = key.Value
+	}
+	return found
+}
--- /dev/null
+++ b/internal/host/view.go
@@ -0,0 +1,174 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
+	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
+	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/scheduler"
+)
+
+const (
+	// maintainInterval is the step of housekeeping: idle connections, cold
+	// shares and the readiness told to peers.
+	maintainInterval = 500 * time.Millisecond
+	// coldWarmup is how long after its start a host sends nothing to cold
+	// servers: until then it does not know which hosts share them.
+	coldWarmup = 3 * time.Second
+	// coldHosts is the number of hosts that share a cold server.
+	coldHosts = 2
+	// coldSafety is the part of a cold server's bound that is used, because
+	// hosts may disagree for a moment on who shares the server.
+	coldSafety = 0.5
+)
+
+// applyView brings the scheduler in line with a new view. The inventory calls
+// it one view at a time.
+func (h *Host) applyView(view *inventory.View) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var usable []scheduler.Server
+	var restarted []string
+	slots := 0
+	for id, server := range view.Servers {
+		if h.track(id, server) {
+			restarted = append(restarted, id)
+		}
+		if server.State != fleet.Ready || view.Evacuated[server.Domain] {
+			continue
+		}
+		usable = append(usable, scheduler.Server{ID: id, Service: server.Service, Region: server.Region, Slots: server.Slots})
+		slots += server.Slots
+	}
+	h.slots.Store(int64(slots))
+	h.untrack(view)
+	verdicts := h.scheduler.SetServers(now, usable, h.regionCount())
+	for _, id := range restarted {
+		h.scheduler.Forget(id)
+	}
+	h.applyCold(now, view)
+	h.deliver(verdicts)
+}
+
+func (h *Host) regionCount() int {
+	regions := make(map[string]bool)
+	for _, region := range h.Settings.RegionOf {
+		regions[region] = true
+	}
+	return len(regions)
+}
+
+// track keeps the connections of a server. It reports whether the server has
+// started again under its ID.
+func (h *Host) track(id string, server fleet.BackendServer) (restarted bool) {
+	known := h.backends[id]
+	if known != nil && known.address == server.Address && known.born == server.Born {
+		return false
+	}
+	if known != nil {
+		known.pool.Close()
+	} else {
+		h.Log.Emit(events.ServerAdded, events.Server(model.ServerID(id)), events.Service(model.Service(server.Service)),
+			events.FailureDomain(model.FailureDomain(server.Domain)))
+	}
+	h.backends[id] = &backend{address: server.Address, born: server.Born, pool: upstream.NewPool(server.Address)}
+	return known != nil
+}
+
+func (h *Host) untrack(view *inventory.View) {
+	for id, known := range h.backends {
+		if _, ok := view.Servers[id]; ok {
+			continue
+		}
+		h.Log.Emit(events.ServerRemoved, events.Server(model.ServerID(id)))
+		known.pool.Close()
+		delete(h.backends, id)
+	}
+}
+
+// applyCold marks the servers that are cold by their entry, or whose failure
+// domain was taken back a moment ago.
+func (h *Host) applyCold(now time.Time, view *inventory.View) {
+	for id, server := range view.Servers {
+		limit := h.coldLimit(view, server)
+		until := time.Time{}
+		if server.ColdFor > 0 && h.backends[id] != nil {
+			until = h.backends[id].coldUntil(now, server)
+		}
+		if released, ok := view.ReleasedAt[server.Domain]; ok {
+			if service := serviceOf(view, server.Service); service != nil {
+				until = later(until, released.Add(service.ColdStart))
+			}
+		}
+		h.scheduler.SetCold(id, until, limit)
+	}
+}
+
+// coldUntil counts from when an entry was first seen.
+func (b *backend) coldUntil(now time.Time, server fleet.BackendServer) time.Time {
+	if b.coldRevision != server.Revision {
+		b.coldRevision, b.coldSeen = server.Revision, now
+	}
+	return b.coldSeen.Add(server.ColdFor)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func serviceOf(view *inventory.View, name string) *fleet.Service {
+	if view.Config == nil {
+		return nil
+	}
+	return view.Config.Services[name]
+}
+
+// coldLimit is the number of requests per second that this host may send to
+// the server while it is cold. Only entry hosts of its region share it.
+func (h *Host) coldLimit(view *inventory.View, server fleet.BackendServer) int {
+	service := serviceOf(view, server.Service)
+	if service == nil || time.Since(h.started) < coldWarmup {
+		return 0
+	}
+	h.rosterMu.Lock()
+	entries := h.roster.Entries(time.Now(), server.Region, coldHosts)
+	h.rosterMu.Unlock()
+	for _, entry := range entries {
+		if entry.ID == h.Settings.ID {
+			bound := service.ColdRate*h.Settings.Bounds.ColdOver + h.Settings.Bounds.ColdSlack
+			return max(int(bound*coldSafety/coldHosts), 1)
+		}
+	}
+	return 0
+}
+
+// maintain does the housekeeping that no event triggers.
+func (h *Host) maintain(ctx context.Context) {
+	tick := time.NewTicker(maintainInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			h.housekeep(now)
+		}
+	}
+}
+
+func (h *Host) housekeep(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.applyCold(now, h.reader.View())
+	for _, b := range h.backends {
+		b.pool.Prune(now)
+	}
+}
--- /dev/null
+++ b/internal/inventory/state.go
@@ -0,0 +1,162 @@
+package inventory
+
+import (
+	"maps"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+)
+
+// lapseGrace is how long entries that vanished during an outage of the store
+// are kept after its return: living servers are back within about 2 s.
+const lapseGrace = 2500 * time.Millisecond
+
+// State folds objects of the store into a view. It does no I/O and is not safe
+// for concurrent use.
+type State struct {
+	decoder Decoder
+	onSkip  func(Collection, Object, error)
+
+	view       View
+	objects    map[Collection]map[string]Object
+	lapsed     map[string]time.Time
+	graceUntil time.Time
+}
+
+// NewState returns an empty state. onSkip is told of entries that cannot be
+// read; the others hold.
+func NewState(decoder Decoder, onSkip func(Collection, Object, error)) *State {
+	return &State{
+		decoder: decoder,
+		onSkip:  onSkip,
+		view: View{
+			Servers:    make(map[string]fleet.BackendServer),
+			Evacuated:  make(map[string]bool),
+			ReleasedAt: make(map[string]time.Time),
+		},
+		objects: map[Collection]map[string]Object{Configuration: {}, Servers: {}, Evacuations: {}},
+		lapsed:  make(map[string]time.Time),
+	}
+}
+
+// Regained notes that the store is back after an outage.
+func (s *State) Regained(now time.Time) { s.graceUntil = now.Add(lapseGrace) }
+
+// Listing replaces a whole collection.
+func (s *State) Listing(now time.Time, c Collection, batch Batch) {
+	listed := make(map[string]bool, len(batch.Objects))
+	for _, o := range batch.Objects {
+		listed[o.Name] = true
+		s.put(now, c, o)
+	}
+	for name := range s.objects[c] {
+		if !listed[name] {
+			s.remove(now, c, name)
+		}
+	}
+	s.view.ReadAt = now
+}
+
+// Changes applies the changes of a collection.
+func (s *State) Changes(now time.Time, c Collection, batch Batch) {
+	for _, o := range batch.Objects {
+		if o.Deleted {
+			s.remove(now, c, o.Name)
+			continue
+		}
+		s.put(now, c, o)
+	}
+	s.view.ReadAt = now
+}
+
+func (s *State) put(now time.Time, c Collection, o Object) {
+	if known, ok := s.objects[c][o.Name]; ok && known.Revision > o.Revision {
+		return
+	}
+	switch c {
+	case Configuration:
+		s.putConfig(o)
+	case Servers:
+		server, err := s.decoder.Server(o)
+		if err != nil {
+			s.onSkip(c, o, err)
+			s.remove(now, c, o.Name)
+			return
+		}
+		delete(s.lapsed, o.Name)
+		s.view.Servers[o.Name] = server
+	case Evacuations:
+		s.view.Evacuated[o.Name] = true
+	}
+	s.objects[c][o.Name] = o
+}
+
+// putConfig never replaces a version by a lower one.
+func (s *State) putConfig(o Object) {
+	config, err := s.decoder.Config(o)
+	if err != nil {
+		s.onSkip(Configuration, o, err)
+		return
+	}
+	if s.view.Config == nil || config.Version > s.view.Config.Version {
+		s.view.Config = config
+	}
+}
+
+func (s *State) remove(now time.Time, c Collection, name string) {
+	switch c {
+	case Configuration:
+		// The last version stays in force.
+	case Servers:
+		server, ok := s.view.Servers[name]
+		if ok && server.State == fleet.Ready && now.Before(s.graceUntil) {
+			s.lapsed[name] = s.graceUntil
+			return
+		}
+		delete(s.view.Servers, name)
+		delete(s.objects[c], name)
+	case Evacuations:
+		if s.view.Evacuated[name] {
+			s.view.ReleasedAt[name] = now
+		}
+		delete(s.view.Evacuated, name)
+		delete(s.objects[c], name)
+	}
+}
+
+// Expire removes lapsed entries that did not come back in time. It reports
+// whether the view changed.
+func (s *State) Expire(now time.Time) bool {
+	changed := false
+	for name, until := range s.lapsed {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.lapsed, name)
+		delete(s.view.Servers, name)
+		delete(s.objects[Servers], name)
+		changed = true
+	}
+	return changed
+}
+
+// View returns a copy of the current view.
+func (s *State) View() *View {
+	view := s.view
+	view.Servers = maps.Clone(s.view.Servers)
+	view.Evacuated = maps.Clone(s.view.Evacuated)
+	view.ReleasedAt = maps.Clone(s.view.ReleasedAt)
+	return &view
+}
+
+// Snapshot returns the objects of all collections, for a peer that cannot
+// reach the store.
+func (s *State) Snapshot() map[Collection][]Object {
+	snapshot := make(map[Collection][]Object, len(s.objects))
+	for c, objects := range s.objects {
+		for _, o := range objects {
+			snapshot[c] = append(snapshot[c], o)
+		}
+	}
+	return snapshot
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,207 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	readBuffer = 4 << 10
+	// concurrentWriteBytes is the body size from which a server may answer
+	// before it has read the whole request.
+	concurrentWriteBytes = 16 << 10
+	// maxAnswerBytes bounds an answer in memory.
+	maxAnswerBytes = 16 << 20
+	// maxForeignAnswers is how many late answers to earlier requests are
+	// skipped before the connection is given up.
+	maxForeignAnswers = 2
+)
+
+// conn is one connection. It is used by one goroutine at a time.
+type conn struct {
+	raw      net.Conn
+	reader   *bufio.Reader
+	written  atomic.Int64
+	useUntil time.Time
+}
+
+func newConn(raw net.Conn) *conn {
+	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
+}
+
+// isQuiet reports whether the connection is open and has no unread bytes:
+// bytes that arrive on an idle connection belong to no request.
+func (c *conn) isQuiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rawConn, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rawConn.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Write counts the bytes that the kernel accepted.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.raw.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// roundTrip sends the request and reads its answer. reusable says whether the
+// connection can carry another request.
+func (c *conn) roundTrip(ctx context.Context, req Request) (answer *Answer, reusable bool, err error) {
+	c.written.Store(0)
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
+	defer func() {
+		if !stop() {
+			reusable = false
+		}
+	}()
+	wrote := c.send(req)
+	if len(req.Body) < concurrentWriteBytes {
+		if err := <-wrote; err != nil && c.written.Load() == 0 {
+			return nil, false, &Failure{Err: fmt.Errorf("send request: %w", err)}
+		}
+		wrote <- nil
+	}
+	resp, err := c.readOwn(req)
+	if err != nil {
+		return nil, false, c.failure(ctx, err)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+	}
+	if err != nil {
+		return nil, false, c.failure(ctx, fmt.Errorf("read answer: %w", err))
+	}
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, c.isReusable(resp, wrote), nil
+}
+
+// send writes the request. The result is sent when the write has ended.
+func (c *conn) send(req Request) chan error {
+	wrote := make(chan error, 1)
+	head := encodeHead(req)
+	if len(req.Body) < concurrentWriteBytes {
+		_, err := c.Write(append(head, req.Body...))
+		wrote <- err
+		return wrote
+	}
+	go func() {
+		_, err := c.Write(head)
+		if err == nil {
+			_, err = c.Write(req.Body)
+		}
+		wrote <- err
+	}()
+	return wrote
+}
+
+func encodeHead(req Request) []byte {
+	var b bytes.Buffer
+	b.Grow(512)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.Target, req.Host)
+	// Header keeps values with line breaks out of the request.
+	_ = req.Header.Write(&b) // a bytes.Buffer does not fail
+	if len(req.Body) > 0 || mayHaveBody(req.Method) {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(req.Body))
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func mayHaveBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// readOwn reads answers until that of the request, skipping informational
+// ones and late answers to earlier requests.
+func (c *conn) readOwn(req Request) (*http.Response, error) {
+	for skipped := 0; ; {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		if err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if req.Belongs(resp.Header) != Foreign {
+			return resp, nil
+		}
+		if skipped++; skipped > maxForeignAnswers {
+			return nil, errors.New("answers of other requests")
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
+			return nil, fmt.Errorf("skip answer of another request: %w", err)
+		}
+	}
+}
+
+func (c *conn) failure(ctx context.Context, err error) *Failure {
+	f := &Failure{Sent: c.written.Load() > 0, Err: err}
+	if cause := context.Cause(ctx); cause != nil {
+		f.Err = cause
+		return f
+	}
+	var network *net.OpError
+	f.Broken = !errors.As(err, &network) && !errors.Is(err, io.EOF)
+	return f
+}
+
+// isReusable also sets until when the connection may be used.
+func (c *conn) isReusable(resp *http.Response, wrote chan error) bool {
+	select {
+	case err := <-wrote:
+		if err != nil {
+			return false
+		}
+	default:
+		// The server answered before it had the whole request.
+		return false
+	}
+	if resp.Close || c.reader.Buffered() > 0 {
+		return false
+	}
+	c.useUntil = time.Now().Add(idleTime(resp.Header))
+	return true
+}
+
+// idleTime reads the Keep-Alive header.
+func idleTime(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
+		}
+	}
+	return defaultIdle
+}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -64,6 +64,7 @@
 	TokenExpired    Code = 305
 	OwnerFailed     Code = 306
 	AnswerNotKept   Code = 307
+	ServerFailed    Code = 308
 
 	UnknownMessage Code = 400
 	FrameTooLarge  Code = 401
--- a/pkg/result/table.go
+++ b/pkg/result/table.go
@@ -52,6 +52,7 @@
 	{AnswerTruncated, "answer-truncated", http.StatusBadGateway, true, "The answer broke off and is not passed on.", "Resend with the same ID, or ask the service what it recorded."},
 	{TokenExpired, "token-expired", http.StatusConflict, true, "The owner token is older than the record window.", "Ask the service what it recorded; look up before the next request."},
 	{OwnerFailed, "owner-unreachable", http.StatusBadGateway, true, "The owner did not answer and no kept answer was found.", "Resend with the same ID."},
+	{ServerFailed, "server-failed", http.StatusBadGateway, false, "The backend server answered with a failure of its own.", "Resend if the request may run again."},
 	{AnswerNotKept, "answer-not-kept", http.StatusBadGateway, true, "The request ran, but its answer was too large to keep for a resend.", "Ask the service what it recorded."},
 
 	{UnknownMessage, "unknown-message", http.StatusBadGateway, true, "A peer sent a message that this process does not know.", "Check the versions."},
--- /dev/null
+++ b/pkg/scheduler/choice.go
@@ -0,0 +1,95 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// occupancyWeight charges a choice for the slot time that it takes from
+	// other requests: a server without the object's state needs about three
+	// times as long.
+	occupancyWeight = 0.5
+	// rankPenalty makes hosts that know equally little of two servers choose
+	// the same one.
+	rankPenalty = 10 * time.Millisecond
+	// errorPenalty is the price of a failed request in target latencies.
+	errorPenalty = 2
+	// sameRegionDelay and defaultRegionDelay are the round trips assumed until
+	// connections have been timed.
+	sameRegionDelay    = 3 * time.Millisecond
+	defaultRegionDelay = 50 * time.Millisecond
+)
+
+// option is a server with what it is expected to cost a job.
+type option struct {
+	server  *server
+	wait    time.Duration
+	net     time.Duration
+	service time.Duration
+	// warm is assumed of the object's first server, known was seen here.
+	warm, known bool
+	cost        time.Duration
+}
+
+func (o option) total() time.Duration { return o.wait + o.net + o.service }
+
+// best returns the option with the lowest cost.
+func (s *Scheduler) best(now time.Time, svc *service, job *Job, ahead map[*server]int) (option, bool) {
+	var best option
+	found := false
+	for rank, server := range s.candidates(now, svc, job) {
+		o := s.weigh(now, job, server, rank, ahead[server])
+		if !found || o.cost < best.cost {
+			best, found = o, true
+		}
+	}
+	return best, found
+}
+
+// candidates returns the usable servers that rank highest for the job.
+func (s *Scheduler) candidates(now time.Time, svc *service, job *Job) []*server {
+	const all = 1 << 30
+	usable := make([]*server, 0, candidateCount)
+	for _, id := range svc.view.Rank(job.Object, all) {
+		server := s.servers[id]
+		if server == nil || !server.usable(now) || slices.Contains(job.Tried, id) {
+			continue
+		}
+		usable = append(usable, server)
+		if len(usable) == candidateCount {
+			break
+		}
+	}
+	return usable
+}
+
+func (s *Scheduler) weigh(now time.Time, job *Job, server *server, rank, ahead int) option {
+	known := !job.Sticky || server.holds(now, job.Object.Key)
+	o := option{server: server, known: known, warm: known || rank == 0, net: s.delay(server.Region)}
+	o.service = time.Duration(float64(s.class(job).of(o.warm)) * server.slowness(now))
+	o.wait = server.wait(now, ahead)
+	failure := time.Duration(server.errors.get(now) * errorPenalty * float64(job.Target))
+	o.cost = o.total() + time.Duration(occupancyWeight*float64(o.service)) + failure + time.Duration(rank)*rankPenalty
+	return o
+}
+
+func (s *Scheduler) delay(region string) time.Duration {
+	if region == s.region {
+		return sameRegionDelay
+	}
+	if measured, ok := s.netDelay[region]; ok {
+		return measured
+	}
+	return defaultRegionDelay
+}
+
+// MeasureDelay takes the round trip time to a server's region.
+func (s *Scheduler) MeasureDelay(region string, rtt time.Duration) {
+	old, ok := s.netDelay[region]
+	if !ok || rtt < old {
+		s.netDelay[region] = rtt
+		return
+	}
+	s.netDelay[region] = average(old, rtt)
+}
--- /dev/null
+++ b/pkg/scheduler/scheduler.go
@@ -0,0 +1,243 @@
+// Package scheduler decides which backend server runs a request, when, and
+// which requests are refused. A request waits at the host until the server
+// that is expected to complete it first has room; urgent requests that can
+// still meet their target latency go first, and a request that is expected to
+// miss its time limit is refused at once.
+//
+// The package does no I/O: methods take the time and return verdicts. A
+// Scheduler is not safe for concurrent use.
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/placement"
+)
+
+const (
+	// candidateCount is the number of servers weighed for a request. More
+	// would spread an object over servers that do not hold its state.
+	candidateCount = 4
+	// maxWaiting bounds the requests of one service that wait on this host. At
+	// 20 ms a request it is more than any time limit lets through.
+	maxWaiting = 400
+	// noServerRetryAfter is the pause proposed while a service has no usable
+	// server: the store reports new servers within about a second.
+	noServerRetryAfter = 500 * time.Millisecond
+	// MinRetryAfter and maxRetryAfter bound the pause proposed to callers that
+	// were refused because of load.
+	MinRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// Job is a request that needs a server.
+type Job struct {
+	// Class names the requests that take about the same time, such as a route.
+	Class   string
+	Service string
+	Object  placement.Object
+	// Sticky jobs run faster on a server that handled the object recently.
+	Sticky   bool
+	Priority int
+	Target   time.Duration
+	// AimAt is when the target latency ends, GiveUpAt when nobody waits for
+	// the answer any longer.
+	AimAt    time.Time
+	GiveUpAt time.Time
+	// Tried are the servers that the request was already sent to.
+	Tried []string
+
+	arrived time.Time
+	sent    running
+	server  *server
+}
+
+// running is a job at a server.
+type running struct {
+	since    time.Time
+	expected time.Duration
+	service  time.Duration
+	warm     bool
+}
+
+// Reason says why a job was refused.
+type Reason int
+
+// Reasons of refusals.
+const (
+	// NotRefused marks a verdict that grants a server.
+	NotRefused Reason = iota
+	NoServer
+	QueueFull
+	WouldMissDeadline
+)
+
+// String returns the reason as it is logged.
+func (r Reason) String() string {
+	return [...]string{"not-refused", "no-server", "queue-full", "would-miss-deadline"}[r]
+}
+
+// Verdict is a decision on one job.
+type Verdict struct {
+	Job *Job
+	// Server may be used until Done is called. It is empty if the job is refused.
+	Server  string
+	Refused Reason
+	// RetryAfter is when a refused caller may come back with a better chance.
+	RetryAfter time.Duration
+	// Expected is the time from now to the answer that the decision is based on.
+	Expected time.Duration
+	// Warm says that the server is expected to hold the object's state.
+	Warm bool
+}
+
+// Scheduler holds the servers and waiting jobs of all services.
+type Scheduler struct {
+	region   string
+	services map[string]*service
+	servers  map[string]*server
+	classes  map[string]*classEstimate
+	// netDelay is the round trip time to servers of other regions.
+	netDelay map[string]time.Duration
+}
+
+type service struct {
+	view    *placement.View
+	waiting []*Job
+}
+
+// New returns a scheduler of a host in the region.
+func New(region string) *Scheduler {
+	return &Scheduler{
+		region:   region,
+		services: make(map[string]*service),
+		servers:  make(map[string]*server),
+		classes:  make(map[string]*classEstimate),
+		netDelay: make(map[string]time.Duration),
+	}
+}
+
+// Submit takes a new job. Without a verdict on it, the job waits.
+func (s *Scheduler) Submit(now time.Time, job *Job) []Verdict {
+	svc := s.service(job.Service)
+	job.arrived = now
+	if len(svc.waiting) >= maxWaiting {
+		return []Verdict{{Job: job, Refused: QueueFull, RetryAfter: maxRetryAfter}}
+	}
+	svc.waiting = append(svc.waiting, job)
+	return s.pump(now, svc)
+}
+
+// Cancel removes a waiting job whose caller has left.
+func (s *Scheduler) Cancel(now time.Time, job *Job) []Verdict {
+	svc := s.service(job.Service)
+	svc.waiting = slices.DeleteFunc(svc.waiting, func(j *Job) bool { return j == job })
+	return s.pump(now, svc)
+}
+
+// Tick decides on waiting jobs whose prospects changed with time.
+func (s *Scheduler) Tick(now time.Time) []Verdict {
+	var verdicts []Verdict
+	for _, svc := range s.services {
+		verdicts = append(verdicts, s.pump(now, svc)...)
+	}
+	return verdicts
+}
+
+// Waiting returns the number of jobs that wait on this host.
+func (s *Scheduler) Waiting() int {
+	sum := 0
+	for _, svc := range s.services {
+		sum += len(svc.waiting)
+	}
+	return sum
+}
+
+func (s *Scheduler) service(name string) *service {
+	svc := s.services[name]
+	if svc == nil {
+		svc = &service{view: placement.NewView(nil, 1)}
+		s.services[name] = svc
+	}
+	return svc
+}
+
+func (s *Scheduler) class(job *Job) *classEstimate {
+	class := s.classes[job.Class]
+	if class == nil {
+		class = newClassEstimate(job.Target)
+		s.classes[job.Class] = class
+	}
+	return class
+}
+
+// pump decides on the waiting jobs of a service in their order.
+func (s *Scheduler) pump(now time.Time, svc *service) []Verdict {
+	if len(svc.waiting) == 0 {
+		return nil
+	}
+	s.order(now, svc.waiting)
+	ahead := make(map[*server]int)
+	var verdicts []Verdict
+	still := svc.waiting[:0]
+	for _, job := range svc.waiting {
+		verdict, decided := s.decide(now, svc, job, ahead)
+		if decided {
+			verdicts = append(verdicts, verdict)
+			continue
+		}
+		still = append(still, job)
+	}
+	clear(svc.waiting[len(still):])
+	svc.waiting = still
+	return verdicts
+}
+
+// order puts jobs that can still meet their target first, then urgent ones,
+// then those that came first.
+func (s *Scheduler) order(now time.Time, jobs []*Job) {
+	slices.SortStableFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(
+			cmp.Compare(s.lateness(now, a), s.lateness(now, b)),
+			cmp.Compare(a.Priority, b.Priority),
+			a.arrived.Compare(b.arrived))
+	})
+}
+
+// lateness is 1 for a job that cannot meet its target latency any more.
+func (s *Scheduler) lateness(now time.Time, job *Job) int {
+	if now.Add(s.class(job).warm).After(job.AimAt) {
+		return 1
+	}
+	return 0
+}
+
+// decide grants a server to a job, refuses it, or leaves it waiting.
+func (s *Scheduler) decide(now time.Time, svc *service, job *Job, ahead map[*server]int) (Verdict, bool) {
+	best, ok := s.best(now, svc, job, ahead)
+	if !ok {
+		return Verdict{Job: job, Refused: NoServer, RetryAfter: noServerRetryAfter}, true
+	}
+	if now.Add(best.total()).After(job.GiveUpAt) {
+		return Verdict{
+			Job:        job,
+			Refused:    WouldMissDeadline,
+			RetryAfter: min(max(best.wait, MinRetryAfter), maxRetryAfter),
+			Expected:   best.total(),
+		}, true
+	}
+	if !best.server.hasRoom(now) {
+		ahead[best.server]++
+		return Verdict{}, false
+	}
+	s.start(now, job, best)
+	return Verdict{Job: job, Server: best.server.ID, Expected: best.total(), Warm: best.warm}, true
+}
+
+func (s *Scheduler) start(now time.Time, job *Job, o option) {
+	job.server = o.server
+	job.sent = running{since: now, expected: o.total(), service: o.service, warm: o.known}
+	o.server.start(now, job)
+}
--- /dev/null
+++ b/pkg/scheduler/server.go
@@ -0,0 +1,288 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/placement"
+)
+
+const (
+	// overcommit is how many requests above its slots a server is given, so
+	// that the next one is there when a slot becomes free.
+	overcommit = 1
+	// reportHalfLife is how fast the reported load of other hosts loses its
+	// meaning: about two requests take that long.
+	reportHalfLife = 600 * time.Millisecond
+	// warmFor is how long a server is assumed to hold an object's state.
+	warmFor = 60 * time.Second
+	// maxHeld bounds the objects remembered of a server.
+	maxHeld = 512
+	// slownessHalfLife and errorHalfLife let a server that is avoided be tried
+	// again after a few seconds.
+	slownessHalfLife = 4 * time.Second
+	errorHalfLife    = 4 * time.Second
+	slownessWeight   = 0.3
+	errorWeight      = 0.25
+	// slownessDeadband is the factor below which a deviation is taken for the
+	// ordinary spread of the work.
+	slownessDeadband = 1.8
+	maxSlowness      = 20
+	// coldSlowness is how much longer a server takes right after its start.
+	coldSlowness = 2
+	// initialService is the service time assumed of a server without answers.
+	initialService = 250 * time.Millisecond
+)
+
+// Server describes a backend server to the scheduler.
+type Server struct {
+	ID      string
+	Service string
+	Region  string
+	Slots   int
+}
+
+type server struct {
+	Server
+	// down servers get no requests until a probe has succeeded.
+	down      bool
+	coldUntil time.Time
+	cold      windowLimit
+
+	running map[*Job]struct{}
+	others  decaying
+	slow    decaying
+	errors  decaying
+	service time.Duration
+	// held has the objects that the server completed, with the time.
+	held map[string]time.Time
+}
+
+func newServer(spec Server) *server {
+	return &server{
+		Server:  spec,
+		running: make(map[*Job]struct{}),
+		others:  decaying{halfLife: reportHalfLife},
+		slow:    decaying{rest: 1, halfLife: slownessHalfLife},
+		errors:  decaying{halfLife: errorHalfLife},
+		service: initialService,
+		held:    make(map[string]time.Time),
+	}
+}
+
+func (s *server) isCold(now time.Time) bool { return now.Before(s.coldUntil) }
+
+// usable reports whether the server may get a request now.
+func (s *server) usable(now time.Time) bool {
+	return !s.down && (!s.isCold(now) || s.cold.has(now))
+}
+
+// busy is the number of requests that the server runs or queues.
+func (s *server) busy(now time.Time) float64 {
+	return float64(len(s.running)) + s.others.get(now)
+}
+
+func (s *server) hasRoom(now time.Time) bool {
+	return s.busy(now) < float64(s.Slots+overcommit)
+}
+
+// wait is the expected time until a slot is free for a request with ahead
+// others before it.
+func (s *server) wait(now time.Time, ahead int) time.Duration {
+	excess := s.busy(now) + float64(ahead) - float64(s.Slots) + 1
+	if excess <= 0 {
+		return 0
+	}
+	perSlot := float64(s.service) * s.slowness(now) / float64(s.Slots)
+	return time.Duration(excess * perSlot)
+}
+
+// slowness is the factor by which the server takes longer than its class says.
+func (s *server) slowness(now time.Time) float64 {
+	factor := s.slow.get(now)
+	for job := range s.running {
+		overdue := float64(now.Sub(job.sent.since)) / float64(max(job.sent.expected, time.Millisecond))
+		factor = max(factor, overdue)
+	}
+	if factor < slownessDeadband {
+		factor = 1
+	}
+	if s.isCold(now) {
+		factor = max(factor, coldSlowness)
+	}
+	return min(factor, maxSlowness)
+}
+
+func (s *server) holds(now time.Time, key string) bool {
+	at, ok := s.held[key]
+	return ok && now.Sub(at) < warmFor
+}
+
+func (s *server) hold(now time.Time, key string) {
+	if len(s.held) >= maxHeld {
+		clear(s.held)
+	}
+	s.held[key] = now
+}
+
+func (s *server) start(now time.Time, job *Job) {
+	s.running[job] = struct{}{}
+	if s.isCold(now) {
+		s.cold.take(now)
+	}
+}
+
+// Result says how a request at a server ended.
+type Result int
+
+// Results of requests.
+const (
+	// Answered is a whole answer of the server.
+	Answered Result = iota
+	// Failed is a broken or lost answer, or an answer of failure.
+	Failed
+	// Shed means that the server refused the request without running it.
+	Shed
+	// Abandoned requests say nothing of the server: their caller has left.
+	Abandoned
+)
+
+// Load is what a server reported with an answer.
+type Load struct {
+	Running, Waiting int
+}
+
+// Done takes the end of a request that a verdict granted.
+func (s *Scheduler) Done(now time.Time, job *Job, result Result, load *Load) []Verdict {
+	server := job.server
+	if server == nil {
+		return nil
+	}
+	job.server = nil
+	delete(server.running, job)
+	s.learn(now, server, job, result)
+	if load != nil {
+		reported := float64(load.Running + load.Waiting - len(server.running))
+		server.others.set(now, max(reported, 0))
+	}
+	return s.pump(now, s.service(job.Service))
+}
+
+func (s *Scheduler) learn(now time.Time, server *server, job *Job, result Result) {
+	took := now.Sub(job.sent.since)
+	switch result {
+	case Abandoned:
+		return
+	case Failed:
+		server.errors.mix(now, 1, errorWeight)
+		return
+	case Shed:
+		// The server is full: nothing more is sent until its queue has moved.
+		server.others.set(now, float64(server.Slots+overcommit))
+		return
+	}
+	server.errors.mix(now, 0, errorWeight)
+	ratio := float64(took) / float64(max(job.sent.expected, time.Millisecond))
+	server.slow.mix(now, min(ratio, maxSlowness), slownessWeight)
+	if job.Sticky {
+		server.hold(now, job.Object.Key)
+	}
+	queued := job.sent.expected - job.sent.service
+	service := max(took-queued, 0)
+	if ratio < slownessDeadband {
+		s.class(job).learn(job.sent.warm, service)
+		server.service = average(server.service, service)
+	}
+}
+
+// SetServers replaces the list of usable servers. callerRegions is the number
+// of regions that callers come from.
+func (s *Scheduler) SetServers(now time.Time, specs []Server, callerRegions int) []Verdict {
+	members := make(map[string][]placement.Member)
+	listed := make(map[string]bool, len(specs))
+	for _, spec := range specs {
+		listed[spec.ID] = true
+		members[spec.Service] = append(members[spec.Service], placement.Member{ID: spec.ID, Region: spec.Region, Slots: spec.Slots})
+		known := s.servers[spec.ID]
+		if known == nil || known.Service != spec.Service {
+			s.servers[spec.ID] = newServer(spec)
+			continue
+		}
+		known.Server = spec
+	}
+	for id := range s.servers {
+		if !listed[id] {
+			delete(s.servers, id)
+		}
+	}
+	for name, svc := range s.services {
+		if _, ok := members[name]; !ok {
+			svc.view = placement.NewView(nil, callerRegions)
+		}
+	}
+	for name, of := range members {
+		s.service(name).view = placement.NewView(of, callerRegions)
+	}
+	return s.Tick(now)
+}
+
+// SetCold marks a server as cold until the given time. limit is the number of
+// requests per second that this host may send to it meanwhile.
+func (s *Scheduler) SetCold(id string, until time.Time, limit int) {
+	server := s.servers[id]
+	if server == nil {
+		return
+	}
+	if until.After(server.coldUntil) {
+		server.coldUntil = until
+	}
+	server.cold.limit = limit
+}
+
+// Forget drops what was learned of a server that has started again.
+func (s *Scheduler) Forget(id string) {
+	server := s.servers[id]
+	if server == nil {
+		return
+	}
+	fresh := newServer(server.Server)
+	fresh.running = server.running
+	fresh.coldUntil, fresh.cold, fresh.down = server.coldUntil, server.cold, server.down
+	*server = *fresh
+}
+
+// SetDown takes a server out until SetUp.
+func (s *Scheduler) SetDown(id string) bool {
+	server := s.servers[id]
+	if server == nil || server.down {
+		return false
+	}
+	server.down = true
+	clear(server.held)
+	return true
+}
+
+// SetUp lets a server take requests again.
+func (s *Scheduler) SetUp(id string) {
+	if server := s.servers[id]; server != nil {
+		server.down = false
+	}
+}
+
+// windowLimit bounds the number of requests in any second.
+type windowLimit struct {
+	limit int
+	taken []time.Time
+}
+
+// coldWindow is a little over the second in which the rules count, because
+// the delay of the network varies.
+const coldWindow = 1100 * time.Millisecond
+
+func (w *windowLimit) has(now time.Time) bool {
+	for len(w.taken) > 0 && now.Sub(w.taken[0]) >= coldWindow {
+		w.taken = w.taken[1:]
+	}
+	return len(w.taken) < w.limit
+}
+
+func (w *windowLimit) take(now time.Time) { w.taken = append(w.taken, now) }
