Learn the cold time of a class from slow samples only

Cause: a host cannot know which objects a server holds from other hosts' requests. Samples of unknown objects were counted as cold although most were warm, so cold servers looked cheap and 15% of requests left their object's server.

Ruled out: too little room on the object's server; it had 2 of 4 slots busy.

Change: a sample teaches the estimate, warm or cold, that it is closer to. Per-request log lines, without the rate limit, show the choice.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -95,6 +95,9 @@
 	if !known || !l.logger.IsLevelEnabled(event.info.Level) {
 		return nil, 0, false
 	}
+	if event.info.perRequest() {
+		return event, 0, true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !event.limiter.AllowN(l.now(), 1) {
--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -54,6 +54,7 @@
 	RequestResent  ID = 1331
 	RequestEnded   ID = 1332
 	LinesDropped   ID = 1333
+	RequestServed  ID = 1334
 
 	StoreCallFailed  ID = 1400
 	StoreReached     ID = 1401
@@ -85,6 +86,12 @@
 	Meaning string
 }
 
+// perRequest reports whether the event is one line of a request's story, which
+// is logged whole or not at all.
+func (i Info) perRequest() bool {
+	return i.ID >= RequestGranted && i.ID <= RequestServed && i.ID != LinesDropped
+}
+
 func fields(names ...Name) []Name { return names }
 
 var table = []Info{
@@ -134,6 +141,7 @@
 	{RequestGranted, logrus.DebugLevel, "request-granted", fields(FieldRequest, FieldService, FieldServer, FieldGeneration, FieldReason), "A backend server was chosen for a request; the reason has the key, the load and the expected time."},
 	{RequestResent, logrus.InfoLevel, "request-resent", fields(FieldRequest, FieldServer, FieldReason), "A request goes to another backend server after this failure."},
 	{RequestEnded, logrus.InfoLevel, "request-ended", fields(FieldRequest, FieldService, FieldServer, FieldCode, FieldGeneration, FieldElapsed, FieldReason), "A request got an answer other than success."},
+	{RequestServed, logrus.DebugLevel, "request-served", fields(FieldRequest, FieldService, FieldServer, FieldCode, FieldGeneration, FieldElapsed, FieldReason), "A request got its whole answer from a backend server."},
 	{LinesDropped, logrus.WarnLevel, "lines-dropped", fields(FieldCount), "Log lines that were dropped because the output was not read fast enough."},
 
 	{StoreCallFailed, logrus.WarnLevel, "store-call-failed", fields(FieldSubject, FieldReason, FieldElapsed), "A call to the store failed; it is repeated with backoff."},
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -198,7 +198,8 @@
 type verdictReason scheduler.Verdict
 
 func (v verdictReason) Error() string {
-	return "object " + v.Job.Object.Key + " warm " + strconv.FormatBool(v.Warm) + " expected " + v.Expected.String()
+	return "object " + v.Job.Object.Key + " known " + strconv.FormatBool(v.Known) + " rank " + strconv.Itoa(v.Rank) +
+		" expected " + v.Expected.String() + " wait " + v.Wait.String() + " busy " + strconv.FormatFloat(v.Busy, 'f', 1, 64)
 }
 
 // attemptContext ends an attempt of an idempotent request when its answer is
@@ -340,10 +341,11 @@
 	took := time.Since(r.req.Received)
 	h.Metrics.CountResult(model.Service(r.service), rank, code)
 	h.Metrics.ObserveLatency(model.Service(r.service), rank, took)
+	id := events.RequestEnded
 	if code == result.Served {
-		return
+		id = events.RequestServed
 	}
-	h.Log.Emit(events.RequestEnded, events.Request(r.call.ID), events.Service(model.Service(r.service)),
+	h.Log.Emit(id, events.Request(r.call.ID), events.Service(model.Service(r.service)),
 		events.Server(model.ServerID(r.server)), events.Code(code), events.Generation(model.Generation(r.version)),
 		events.Elapsed(took), events.Reason(errors.New(strconv.Itoa(answer.Status)+" "+r.failure)))
 }
--- a/pkg/scheduler/choice.go
+++ b/pkg/scheduler/choice.go
@@ -29,7 +29,9 @@
 	service time.Duration
 	// warm is assumed of the object's first server, known was seen here.
 	warm, known bool
-	cost        time.Duration
+	// rank is the server's place in the object's order.
+	rank int
+	cost time.Duration
 }
 
 func (o option) total() time.Duration { return o.wait + o.net + o.service }
@@ -66,7 +68,7 @@
 
 func (s *Scheduler) weigh(now time.Time, job *Job, server *server, rank, ahead int) option {
 	known := !job.Sticky || server.holds(now, job.Object.Key)
-	o := option{server: server, known: known, warm: known || rank == 0, net: s.delay(server.Region)}
+	o := option{server: server, rank: rank, known: known, warm: known || rank == 0, net: s.delay(server.Region)}
 	o.service = time.Duration(float64(s.class(job).of(o.warm)) * server.slowness(now))
 	o.wait = server.wait(now, ahead)
 	failure := time.Duration(server.errors.get(now) * errorPenalty * float64(job.Target))
--- a/pkg/scheduler/estimate.go
+++ b/pkg/scheduler/estimate.go
@@ -38,12 +38,14 @@
 	return e.cold
 }
 
-func (e *classEstimate) learn(warm bool, took time.Duration) {
-	if warm {
-		e.warm = average(e.warm, took)
+// learn sorts a sample by what it is closer to: a host does not know which
+// objects a server got from other hosts, so the choice alone would mix both.
+func (e *classEstimate) learn(took time.Duration) {
+	if float64(took) > math.Sqrt(float64(e.warm)*float64(e.cold)) {
+		e.cold = average(e.cold, took)
 		return
 	}
-	e.cold = max(average(e.cold, took), e.warm)
+	e.warm = average(e.warm, took)
 }
 
 func average(old, sample time.Duration) time.Duration {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -59,7 +59,6 @@
 	since    time.Time
 	expected time.Duration
 	service  time.Duration
-	warm     bool
 }
 
 // Reason says why a job was refused.
@@ -89,8 +88,14 @@
 	RetryAfter time.Duration
 	// Expected is the time from now to the answer that the decision is based on.
 	Expected time.Duration
-	// Warm says that the server is expected to hold the object's state.
-	Warm bool
+	// Wait is the part of Expected that is spent in the server's queue.
+	Wait time.Duration
+	// Known says that the server was seen to hold the object's state.
+	Known bool
+	// Rank is the server's place in the object's order of servers.
+	Rank int
+	// Busy is the server's load that the decision is based on.
+	Busy float64
 }
 
 // Scheduler holds the servers and waiting jobs of all services.
@@ -232,12 +237,21 @@
 		ahead[best.server]++
 		return Verdict{}, false
 	}
+	busy := best.server.busy(now)
 	s.start(now, job, best)
-	return Verdict{Job: job, Server: best.server.ID, Expected: best.total(), Warm: best.warm}, true
+	return Verdict{
+		Job:      job,
+		Server:   best.server.ID,
+		Expected: best.total(),
+		Wait:     best.wait,
+		Known:    best.known,
+		Rank:     best.rank,
+		Busy:     busy,
+	}, true
 }
 
 func (s *Scheduler) start(now time.Time, job *Job, o option) {
 	job.server = o.server
-	job.sent = running{since: now, expected: o.total(), service: o.service, warm: o.known}
+	job.sent = running{since: now, expected: o.total(), service: o.service}
 	o.server.start(now, job)
 }
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -189,7 +189,7 @@
 	queued := job.sent.expected - job.sent.service
 	service := max(took-queued, 0)
 	if ratio < slownessDeadband {
-		s.class(job).learn(job.sent.warm, service)
+		s.class(job).learn(service)
 		server.service = average(server.service, service)
 	}
 }
