Read the store on two hosts a region and pass the news to their peers

Ruled out: shorter waits on every host, since each call is priced.

Change: rendezvous ranking picks two readers a region, others take their place when the store does not answer them. Readers push changes by datagram; marks in the heartbeats show who missed one, and it pulls the collection from a peer. A dropped history makes a reader list every collection again. Heartbeats leave out what does not change; two delegates speak to other regions.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -62,6 +62,8 @@
 	HostListStale    ID = 1403
 	StoreHistoryGone ID = 1404
 	EntrySkipped     ID = 1405
+	StateFromPeer    ID = 1406
+	StoreRead        ID = 1407
 
 	PromotionAccepted ID = 1500
 	PromotionRefused  ID = 1501
@@ -89,7 +91,7 @@
 // perRequest reports whether the event is one line of a request's story, which
 // is logged whole or not at all.
 func (i Info) perRequest() bool {
-	return i.ID >= RequestGranted && i.ID <= RequestServed && i.ID != LinesDropped
+	return i.ID >= RequestGranted && i.ID <= RequestServed && i.ID != LinesDropped || i.ID == StoreRead
 }
 
 func fields(names ...Name) []Name { return names }
@@ -148,6 +150,8 @@
 	{StoreReached, logrus.InfoLevel, "store-reached", fields(FieldElapsed), "The store answers again after an outage of this length."},
 	{StoreWriteUnsure, logrus.WarnLevel, "store-write-unsure", fields(FieldEnvironment, FieldReason), "The answer to a write was lost and reading back did not tell whether it took effect."},
 	{StoreHistoryGone, logrus.InfoLevel, "store-history-gone", fields(FieldSubject), "A watch has to start again with a listing."},
+	{StateFromPeer, logrus.InfoLevel, "state-from-peer", fields(FieldSubject, FieldPeer, FieldCount), "A collection of the store was taken from a peer that knew more of it."},
+	{StoreRead, logrus.DebugLevel, "store-read", fields(FieldSubject, FieldCount, FieldGeneration), "A call to the store was answered with this many objects; the generation is the store's revision."},
 	{EntrySkipped, logrus.WarnLevel, "entry-skipped", fields(FieldSubject, FieldReason), "An entry of the store cannot be read and is left out; the others hold."},
 	{HostListStale, logrus.WarnLevel, "host-list-stale", fields(FieldElapsed), "The platform's host list could not be read for this long."},
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -69,8 +69,13 @@
 	retries   map[string]*retryBudget
 	splits    map[string]*splitter
 
+	// rosterMu is taken after mu and after the reader's own lock, never before.
 	rosterMu sync.Mutex
 	roster   *roster.Roster
+	// newsMu guards ahead: the peers that know more of a collection.
+	newsMu     sync.Mutex
+	ahead      map[inventory.Collection]peerAhead
+	beatSocket atomic.Pointer[net.PacketConn]
 	// slots is the number of slots of all servers, for the number of entry hosts.
 	slots atomic.Int64
 }
@@ -98,6 +103,7 @@
 		backends:  make(map[string]*backend),
 		retries:   make(map[string]*retryBudget),
 		splits:    make(map[string]*splitter),
+		ahead:     make(map[inventory.Collection]peerAhead),
 	}
 	self := roster.Beat{
 		ID:            s.ID,
@@ -108,7 +114,8 @@
 		CallerAddress: s.Listen.Callers,
 	}
 	h.roster = roster.New(self, s.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	h.reader = inventory.NewReader(base.Store, base.Decoder, base.Log, time.Now, h.applyView)
+	h.reader = inventory.NewReader(base.Store, base.Decoder, base.Log, time.Now, h.readsStore,
+		inventory.Callbacks{View: h.applyView, Change: h.pushChange})
 	h.entry = callers.NewServer(h.serveCall, h.callerLimits, int64(float64(s.Memory)*bodyMemoryShare))
 	return h
 }
--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -61,10 +61,11 @@
 // entryAddresses returns the entry hosts of the caller's region, or those of
 // the other regions while it has none.
 func (h *Host) entryAddresses(lookup Lookup) []string {
+	storeLost := h.reader.StoreLost()
 	h.rosterMu.Lock()
 	defer h.rosterMu.Unlock()
 	now := time.Now()
-	h.roster.SetState(h.state(), h.configVersion())
+	h.roster.SetState(h.state(), storeLost)
 	addresses := h.addressesOf(now, lookup.Region)
 	if len(addresses) > 0 {
 		return addresses
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -19,11 +19,6 @@
 )
 
 const (
-	// adoptInterval is the pause between questions to a peer with a newer
-	// configuration.
-	adoptInterval = time.Second
-	// adoptTimeout bounds one question.
-	adoptTimeout = 1500 * time.Millisecond
 	// registerTries bounds the attempts to write this host's address to the
 	// store; without it, hosts are found through the seeds.
 	registerTries = 10
@@ -41,6 +36,7 @@
 		_ = socket.Close()
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	h.beatSocket.Store(&socket)
 	stop := context.AfterFunc(ctx, func() {
 		_ = socket.Close()
 		_ = listener.Close()
@@ -53,7 +49,7 @@
 		}
 	}()
 	go h.beat(ctx, socket)
-	go h.adoptNewer(ctx)
+	go h.pullNewer(ctx)
 	return h.receiveBeats(socket)
 }
 
@@ -86,15 +82,31 @@
 
 func (h *Host) sendBeats(socket net.PacketConn) {
 	now := time.Now()
+	storeLost := h.reader.StoreLost()
 	h.rosterMu.Lock()
-	h.roster.SetState(h.state(), h.configVersion())
-	targets := h.roster.Targets(now)
-	message := &wirepb.Heartbeat{Self: beatToWire(h.roster.Self(), 0)}
-	for _, other := range h.roster.Introductions(now) {
-		message.Others = append(message.Others, beatToWire(other.Beat, other.Age))
-	}
+	h.roster.SetState(h.state(), storeLost)
+	self := h.roster.Self()
+	messages := h.roster.Beats(now)
 	h.rosterMu.Unlock()
-	encoded, err := proto.Marshal(message)
+	for _, m := range messages {
+		beat := &wirepb.Heartbeat{Self: beatToWire(self, 0), Collections: h.collectionStates()}
+		for _, other := range m.Introduced {
+			beat.Others = append(beat.Others, beatToWire(other.Beat, other.Age))
+		}
+		if !m.Whole {
+			slim(beat.Self)
+		}
+		h.sendTo(socket, beat, m.To)
+	}
+}
+
+// slim leaves out what does not change.
+func slim(b *wirepb.HostBeat) {
+	b.Region, b.FailureDomain, b.PeerAddress, b.CallerAddress = "", "", "", ""
+}
+
+func (h *Host) sendTo(socket net.PacketConn, beat *wirepb.Heartbeat, targets []string) {
+	encoded, err := proto.Marshal(beat)
 	if err != nil {
 		h.Log.Emit(events.PeerConnectionLost, events.Reason(err))
 		return
@@ -112,13 +124,9 @@
 
 // announce tells peers at once that the state has changed.
 func (h *Host) announce() {
-	socket, err := net.ListenPacket("udp4", ":0")
-	if err != nil {
-		// The next heartbeat tells it.
-		return
+	if socket := h.beatSocket.Load(); socket != nil {
+		h.sendBeats(*socket)
 	}
-	defer socket.Close()
-	h.sendBeats(socket)
 }
 
 func (h *Host) receiveBeats(socket net.PacketConn) error {
@@ -144,11 +152,12 @@
 func (h *Host) heard(message *wirepb.Heartbeat) {
 	now := time.Now()
 	h.rosterMu.Lock()
-	defer h.rosterMu.Unlock()
 	h.roster.Heard(now, beatFromWire(message.GetSelf()), 0)
 	for _, other := range message.GetOthers() {
 		h.roster.Heard(now, beatFromWire(other), time.Duration(other.GetAgeMillis())*time.Millisecond)
 	}
+	h.rosterMu.Unlock()
+	h.heardOfStore(now, message)
 }
 
 func (h *Host) state() roster.State {
@@ -178,7 +187,7 @@
 		PeerAddress:   b.PeerAddress,
 		CallerAddress: b.CallerAddress,
 		State:         wirepb.BeatState(b.State + 1),
-		ConfigVersion: b.ConfigVersion,
+		StoreLost:     b.StoreLost,
 		AgeMillis:     uint32(age.Milliseconds()),
 	}
 }
@@ -192,79 +201,8 @@
 		PeerAddress:   b.GetPeerAddress(),
 		CallerAddress: b.GetCallerAddress(),
 		State:         roster.State(b.GetState() - 1),
-		ConfigVersion: b.GetConfigVersion(),
-	}
-}
-
-// snapshotHandler answers peers that ask for the store's objects.
-type snapshotHandler struct{ host *Host }
-
-// Handle implements wire.Handler.
-func (s snapshotHandler) Handle(_ context.Context, _ *wirepb.Hello, env *wirepb.Envelope, stream *wire.Stream) {
-	if env.GetSnapshotPull() == nil {
-		_ = stream.Send(wire.FailureEnvelope(result.UnknownMessage, "only snapshots are served"))
-		return
-	}
-	reply := &wirepb.SnapshotReply{}
-	for collection, objects := range s.host.reader.Snapshot() {
-		for _, o := range objects {
-			reply.Objects = append(reply.Objects, &wirepb.StoredObject{
-				Collection: uint32(collection), Name: o.Name, Revision: o.Revision, Body: o.Body,
-			})
-		}
-	}
-	if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_SnapshotReply{SnapshotReply: reply}}); err != nil {
-		s.host.Log.Emit(events.PeerConnectionLost, events.Reason(err))
-	}
-}
-
-// adoptNewer takes over what a peer holds while the store does not answer this
-// host and the peer has a newer configuration.
-func (h *Host) adoptNewer(ctx context.Context) {
-	client := wire.NewQuietClient(h.identity(), wire.DefaultMaxFrameBytes)
-	defer client.Close()
-	tick := time.NewTicker(adoptInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			if peer, ok := h.newerPeer(now); ok && !h.reader.Reachable() {
-				h.adopt(ctx, client, peer)
-			}
-		}
-	}
-}
-
-func (h *Host) newerPeer(now time.Time) (roster.Beat, bool) {
-	h.rosterMu.Lock()
-	defer h.rosterMu.Unlock()
-	best := roster.Beat{ConfigVersion: h.configVersion()}
-	for _, beat := range h.roster.Live(now) {
-		if beat.ConfigVersion > best.ConfigVersion {
-			best = beat
-		}
-	}
-	return best, best.ID != ""
-}
-
-func (h *Host) adopt(ctx context.Context, client *wire.Client, peer roster.Beat) {
-	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
-	defer cancel()
-	pull := &wirepb.Envelope{Body: &wirepb.Envelope_SnapshotPull{SnapshotPull: &wirepb.SnapshotPull{}}}
-	reply, err := client.Call(ctx, peer.PeerAddress, pull)
-	if err != nil {
-		h.Log.Emit(events.PeerConnectionLost, events.Peer(peer.PeerAddress), events.Reason(err))
-		return
-	}
-	snapshot := make(map[inventory.Collection][]inventory.Object)
-	for _, o := range reply.GetSnapshotReply().GetObjects() {
-		c := inventory.Collection(o.GetCollection())
-		snapshot[c] = append(snapshot[c], inventory.Object{Name: o.GetName(), Revision: o.GetRevision(), Body: o.GetBody()})
+		StoreLost:     b.GetStoreLost(),
 	}
-	h.reader.Adopt(snapshot)
-	h.Log.Emit(events.ConfigFromPeers, events.Generation(model.Generation(h.configVersion())), events.Count(len(reply.GetSnapshotReply().GetObjects())))
 }
 
 // hostObject is this host's entry in the store.
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
 const (
@@ -21,32 +22,67 @@
 	// shortOutage is what a single failed call costs; longer ones let entries
 	// of living servers lapse.
 	shortOutage = 1200 * time.Millisecond
+	// lostAfter is how long calls have to fail before peers are told to read
+	// the store instead.
+	lostAfter = 300 * time.Millisecond
+	// roleInterval is the step in which a host looks whether it is to read the
+	// store; it bounds how late a new reader starts.
+	roleInterval = 200 * time.Millisecond
 	// expireInterval is the step in which lapsed entries are removed.
 	expireInterval = 200 * time.Millisecond
 )
 
-// Reader keeps a State up to date from a Source and publishes its views. It is
-// safe for concurrent use.
+// Role tells a reader whether this host reads the store itself, or takes what
+// its peers have read.
+type Role func(now time.Time) bool
+
+// Change is what one call to the store changed.
+type Change struct {
+	Collection Collection
+	// Before identifies the content that the change applies to.
+	Before Mark
+	// AsOf is the revision of the store after the change.
+	AsOf    uint64
+	Objects []Object
+}
+
+// Reader keeps a State up to date from a Source or from peers, and publishes
+// its views. It is safe for concurrent use.
 type Reader struct {
 	source Source
 	log    *events.Log
 	now    func() time.Time
+	role   Role
 
 	mu    sync.Mutex
 	state *State
 	// lostAt is when the first call failed of those that failed in a row.
 	lostAt time.Time
+	// relist has the collections whose watch is not trusted any more.
+	relist map[Collection]context.CancelFunc
 
 	view     atomic.Pointer[View]
-	onChange func(*View)
+	onView   func(*View)
+	onChange func(Change)
 	calls    atomic.Int64
 	failures atomic.Int64
 }
 
-// NewReader returns a reader. onChange is called with each new view, one call
-// at a time.
-func NewReader(source Source, decoder Decoder, log *events.Log, now func() time.Time, onChange func(*View)) *Reader {
-	r := &Reader{source: source, log: log, now: now, onChange: onChange}
+// Callbacks are called one at a time, in the order of the changes.
+type Callbacks struct {
+	// View gets each new view.
+	View func(*View)
+	// Change gets what this host has read from the store, to pass it on.
+	Change func(Change)
+}
+
+// NewReader returns a reader that is not running yet.
+func NewReader(source Source, decoder Decoder, log *events.Log, now func() time.Time, role Role, on Callbacks) *Reader {
+	r := &Reader{
+		source: source, log: log, now: now, role: role,
+		onView: on.View, onChange: on.Change,
+		relist: make(map[Collection]context.CancelFunc),
+	}
 	r.state = NewState(decoder, r.skipped)
 	r.view.Store(r.state.View())
 	return r
@@ -62,11 +98,18 @@
 // Calls returns the calls to the store and how many of them failed.
 func (r *Reader) Calls() (made, failed int64) { return r.calls.Load(), r.failures.Load() }
 
-// Reachable reports whether the last call to the store succeeded.
-func (r *Reader) Reachable() bool {
+// StoreLost reports whether the store has not answered this host for a while.
+func (r *Reader) StoreLost() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.lostAt.IsZero()
+	return !r.lostAt.IsZero() && r.now().Sub(r.lostAt) >= lostAfter
+}
+
+// Mark returns the mark of a collection.
+func (r *Reader) Mark(c Collection) Mark {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Mark(c)
 }
 
 // Run reads the store until the context ends.
@@ -87,63 +130,185 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			r.mu.Lock()
-			if r.state.Expire(r.now()) {
-				r.publish()
-			}
-			r.mu.Unlock()
+			r.expireLapsed()
 		}
 	}
 }
 
-// follow lists a collection and watches it from there, again and again.
+func (r *Reader) expireLapsed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.state.Mark(Servers)
+	removed := r.state.Expire(r.now())
+	if len(removed) == 0 {
+		return
+	}
+	change := Change{Collection: Servers, Before: before, AsOf: before.AsOf}
+	for _, name := range removed {
+		change.Objects = append(change.Objects, Object{Name: name, Deleted: true})
+	}
+	r.publish()
+	r.onChange(change)
+}
+
+// follow reads a collection while that is this host's role.
 func (r *Reader) follow(ctx context.Context, c Collection) {
 	pause := newPause()
 	for ctx.Err() == nil {
-		batch, err := r.source.List(ctx, c)
-		if !r.note(ctx, c, err) {
-			pause.wait(ctx)
+		if !r.role(r.now()) {
+			sleep(ctx, roleInterval)
 			continue
 		}
+		after := r.Mark(c).AsOf
+		if after == 0 {
+			batch, err := r.source.List(ctx, c)
+			if !r.note(ctx, c, err) {
+				pause.wait(ctx)
+				continue
+			}
+			r.fold(c, batch, r.state.Listing)
+			after = batch.Revision
+		}
 		pause.reset()
-		r.apply(c, batch, r.state.Listing)
-		r.watch(ctx, c, batch.Revision, pause)
+		if r.watch(ctx, c, after, pause) {
+			r.relistAll(c)
+		}
 	}
 }
 
-// watch returns when the history is gone.
-func (r *Reader) watch(ctx context.Context, c Collection, after uint64, pause *pause) {
-	for ctx.Err() == nil {
-		batch, err := r.source.Watch(ctx, c, after)
+// relistAll distrusts all collections: a store that has dropped its history
+// may have cut every watch, also those that say nothing.
+func (r *Reader) relistAll(than Collection) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range Collections {
+		r.state.asOf[c] = 0
+		if cancel := r.relist[c]; cancel != nil && c != than {
+			cancel()
+		}
+	}
+}
+
+// watch returns when the role of this host ends, or with historyGone.
+func (r *Reader) watch(ctx context.Context, c Collection, after uint64, pause *pause) (historyGone bool) {
+	for ctx.Err() == nil && r.role(r.now()) {
+		watchCtx, cancel := context.WithCancel(ctx)
+		r.setCancel(c, cancel)
+		stopped := r.endWithRole(watchCtx, cancel)
+		batch, err := r.source.Watch(watchCtx, c, after)
+		interrupted := watchCtx.Err() != nil
+		cancel()
+		<-stopped
+		if interrupted {
+			return false
+		}
 		if errors.Is(err, ErrHistoryGone) {
 			r.log.Emit(events.StoreHistoryGone, events.Subject(c.String()))
 			r.note(ctx, c, nil)
-			return
+			return true
 		}
 		if !r.note(ctx, c, err) {
 			pause.wait(ctx)
 			continue
 		}
 		pause.reset()
+		r.fold(c, batch, r.state.Changes)
 		after = batch.Revision
-		if len(batch.Objects) > 0 {
-			r.apply(c, batch, r.state.Changes)
+	}
+	return false
+}
+
+// endWithRole cancels a watch when another host has taken over.
+func (r *Reader) endWithRole(ctx context.Context, cancel context.CancelFunc) <-chan struct{} {
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for ctx.Err() == nil {
+			sleep(ctx, roleInterval)
+			if !r.role(r.now()) {
+				cancel()
+				return
+			}
 		}
+	}()
+	return stopped
+}
+
+func (r *Reader) setCancel(c Collection, cancel context.CancelFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relist[c] = cancel
+}
+
+// fold takes what was read from the store, and passes it on.
+func (r *Reader) fold(c Collection, batch Batch, into func(time.Time, Collection, Batch)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log.Emit(events.StoreRead, events.Subject(c.String()), events.Count(len(batch.Objects)), events.Generation(model.Generation(batch.Revision)))
+	before := r.state.Mark(c)
+	into(r.now(), c, batch)
+	if r.state.Mark(c).Digest == before.Digest {
+		return
 	}
+	r.publish()
+	r.onChange(Change{Collection: c, Before: before, AsOf: batch.Revision, Objects: batch.Objects})
 }
 
-func (r *Reader) apply(c Collection, batch Batch, fold func(time.Time, Collection, Batch)) {
+// Adopt takes over a collection as a peer holds it.
+func (r *Reader) Adopt(c Collection, batch Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fold(r.now(), c, batch)
+	before := r.state.Mark(c)
+	r.state.Listing(r.now(), c, batch)
+	if r.state.Mark(c).Digest != before.Digest {
+		r.publish()
+	}
+}
+
+// Pushed applies a change that a peer has read. It reports whether the change
+// fits what this host knows.
+func (r *Reader) Pushed(change Change) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.state.Mark(change.Collection)
+	if before.Digest != change.Before.Digest || before.AsOf == 0 || change.AsOf < before.AsOf {
+		return false
+	}
+	r.state.Changes(r.now(), change.Collection, Batch{Objects: change.Objects, Revision: change.AsOf})
 	r.publish()
+	return true
+}
+
+// Confirmed notes that a peer knows the same content for a later revision.
+func (r *Reader) Confirmed(c Collection, asOf uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.asOf[c] > 0 {
+		r.state.confirm(r.now(), c, asOf)
+	}
+}
+
+// Snapshot returns a collection, for a peer.
+func (r *Reader) Snapshot(c Collection) Batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Snapshot(c)
 }
 
 // publish is called with the lock held.
 func (r *Reader) publish() {
 	view := r.state.View()
 	r.view.Store(view)
-	r.onChange(view)
+	r.onView(view)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
 }
 
 // note counts a call and logs the loss and return of the store.
@@ -173,24 +338,6 @@
 	return true
 }
 
-// Snapshot returns all objects, for a peer.
-func (r *Reader) Snapshot() map[Collection][]Object {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.state.Snapshot()
-}
-
-// Adopt takes over what a peer holds. Nothing that this host knows in a later
-// revision is replaced.
-func (r *Reader) Adopt(snapshot map[Collection][]Object) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for c, objects := range snapshot {
-		r.state.Changes(r.now(), c, Batch{Objects: objects})
-	}
-	r.publish()
-}
-
 // pause waits between failed calls.
 type pause struct{ policy *backoff.ExponentialBackOff }
 
@@ -204,10 +351,5 @@
 func (p *pause) reset() { p.policy.Reset() }
 
 func (p *pause) wait(ctx context.Context) {
-	timer := time.NewTimer(p.policy.NextBackOff() + rand.N(firstRetry))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	sleep(ctx, p.policy.NextBackOff()+rand.N(firstRetry))
 }
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -2,9 +2,11 @@
 
 import (
 	"maps"
+	"strconv"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/rendezvous"
 )
 
 // lapseGrace is how long entries that vanished during an outage of the store
@@ -17,8 +19,10 @@
 	decoder Decoder
 	onSkip  func(Collection, Object, error)
 
-	view       View
-	objects    map[Collection]map[string]Object
+	view    View
+	objects map[Collection]map[string]Object
+	// asOf is the revision of the store for which a collection holds.
+	asOf       map[Collection]uint64
 	lapsed     map[string]time.Time
 	graceUntil time.Time
 }
@@ -35,6 +39,7 @@
 			ReleasedAt: make(map[string]time.Time),
 		},
 		objects: map[Collection]map[string]Object{Configuration: {}, Servers: {}, Evacuations: {}},
+		asOf:    make(map[Collection]uint64),
 		lapsed:  make(map[string]time.Time),
 	}
 }
@@ -42,8 +47,12 @@
 // Regained notes that the store is back after an outage.
 func (s *State) Regained(now time.Time) { s.graceUntil = now.Add(lapseGrace) }
 
-// Listing replaces a whole collection.
+// Listing replaces a whole collection. A listing that is older than what is
+// known changes nothing.
 func (s *State) Listing(now time.Time, c Collection, batch Batch) {
+	if batch.Revision < s.asOf[c] {
+		return
+	}
 	listed := make(map[string]bool, len(batch.Objects))
 	for _, o := range batch.Objects {
 		listed[o.Name] = true
@@ -54,7 +63,7 @@
 			s.remove(now, c, name)
 		}
 	}
-	s.view.ReadAt = now
+	s.confirm(now, c, batch.Revision)
 }
 
 // Changes applies the changes of a collection.
@@ -66,9 +75,32 @@
 		}
 		s.put(now, c, o)
 	}
+	s.confirm(now, c, batch.Revision)
+}
+
+func (s *State) confirm(now time.Time, c Collection, revision uint64) {
+	s.asOf[c] = max(s.asOf[c], revision)
 	s.view.ReadAt = now
 }
 
+// Mark identifies the content of a collection.
+type Mark struct {
+	// AsOf is the revision of the store for which the content holds; 0 if the
+	// collection was never read.
+	AsOf uint64
+	// Digest is equal for equal contents.
+	Digest uint64
+}
+
+// Mark returns the mark of a collection.
+func (s *State) Mark(c Collection) Mark {
+	mark := Mark{AsOf: s.asOf[c]}
+	for _, o := range s.objects[c] {
+		mark.Digest ^= rendezvous.Score(o.Name, strconv.FormatUint(o.Revision, 10))
+	}
+	return mark
+}
+
 func (s *State) put(now time.Time, c Collection, o Object) {
 	if known, ok := s.objects[c][o.Name]; ok && known.Revision > o.Revision {
 		return
@@ -124,10 +156,10 @@
 	}
 }
 
-// Expire removes lapsed entries that did not come back in time. It reports
-// whether the view changed.
-func (s *State) Expire(now time.Time) bool {
-	changed := false
+// Expire removes lapsed entries that did not come back in time and returns
+// their names.
+func (s *State) Expire(now time.Time) []string {
+	var removed []string
 	for name, until := range s.lapsed {
 		if now.Before(until) {
 			continue
@@ -135,9 +167,9 @@
 		delete(s.lapsed, name)
 		delete(s.view.Servers, name)
 		delete(s.objects[Servers], name)
-		changed = true
+		removed = append(removed, name)
 	}
-	return changed
+	return removed
 }
 
 // View returns a copy of the current view.
@@ -149,14 +181,11 @@
 	return &view
 }
 
-// Snapshot returns the objects of all collections, for a peer that cannot
-// reach the store.
-func (s *State) Snapshot() map[Collection][]Object {
-	snapshot := make(map[Collection][]Object, len(s.objects))
-	for c, objects := range s.objects {
-		for _, o := range objects {
-			snapshot[c] = append(snapshot[c], o)
-		}
+// Snapshot returns a collection, for a peer.
+func (s *State) Snapshot(c Collection) Batch {
+	batch := Batch{Revision: s.asOf[c]}
+	for _, o := range s.objects[c] {
+		batch.Objects = append(batch.Objects, o)
 	}
-	return snapshot
+	return batch
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -30,6 +31,18 @@
 	// maxIntroduced bounds the hosts named in one heartbeat, so that it fits a
 	// datagram.
 	maxIntroduced = 12
+	// remoteEvery and introduceEvery are the numbers of heartbeats of which one
+	// goes to other regions, and one introduces hosts to the own region: bytes
+	// between failure domains and regions are priced.
+	remoteEvery    = 3
+	introduceEvery = 8
+	// newcomerBeats is the number of heartbeats for which a host that has just
+	// started is taken not to know the others.
+	newcomerBeats = 6
+	// delegates is the number of hosts of a region that speak to other regions.
+	delegates = 2
+	// readers is the number of hosts of a region that read the store for it.
+	readers = 2
 )
 
 // State is the state of a host.
@@ -52,9 +65,13 @@
 	PeerAddress   string
 	CallerAddress string
 	State         State
-	ConfigVersion uint64
+	// StoreLost says that the store does not answer the host.
+	StoreLost bool
 }
 
+// isWhole reports whether the beat has what does not change, too.
+func (b Beat) isWhole() bool { return b.PeerAddress != "" }
+
 // Introduction is a beat that another host passes on, with its age.
 type Introduction struct {
 	Beat
@@ -72,6 +89,8 @@
 	seeds   []string
 	members map[string]*member
 	rng     *rand.Rand
+	// beats is the number of heartbeats so far.
+	beats int
 }
 
 // New returns a roster that knows only this host and addresses to ask.
@@ -84,8 +103,8 @@
 func (r *Roster) Self() Beat { return r.self }
 
 // SetState changes what this host says of itself.
-func (r *Roster) SetState(state State, configVersion uint64) {
-	r.self.State, r.self.ConfigVersion = state, configVersion
+func (r *Roster) SetState(state State, storeLost bool) {
+	r.self.State, r.self.StoreLost = state, storeLost
 }
 
 // AddSeeds adds addresses to ask.
@@ -105,50 +124,114 @@
 	at := now.Add(-age)
 	known := r.members[beat.ID]
 	if known == nil {
+		if !beat.isWhole() {
+			return
+		}
 		r.members[beat.ID] = &member{beat: beat, heard: at}
 		return
 	}
+	if !beat.isWhole() {
+		if beat.Incarnation != known.beat.Incarnation {
+			return
+		}
+		state, lost := beat.State, beat.StoreLost
+		beat = known.beat
+		beat.State, beat.StoreLost = state, lost
+	}
 	newer := beat.Incarnation > known.beat.Incarnation
 	if newer || beat.Incarnation == known.beat.Incarnation && at.After(known.heard) {
 		known.beat, known.heard = beat, at
 	}
 }
 
-// Targets returns the addresses that get a heartbeat now.
-func (r *Roster) Targets(now time.Time) []string {
-	var targets []string
-	remote := make(map[string][]string)
+// Message is a heartbeat to send.
+type Message struct {
+	To []string
+	// Introduced are hosts that the receivers may not know.
+	Introduced []Introduction
+	// Whole messages go to hosts that may not know this one.
+	Whole bool
+}
+
+// Beats returns the heartbeats of one interval.
+func (r *Roster) Beats(now time.Time) []Message {
+	local, remote := r.forgetSilent(now)
+	defer func() { r.beats++ }()
+	newcomer := r.beats < newcomerBeats
+	if len(local)+len(remote) == 0 {
+		return []Message{{To: slices.Clone(r.seeds), Whole: true}}
+	}
+	near := Message{To: local}
+	if newcomer || r.beats%introduceEvery == 0 {
+		near.Introduced, near.Whole = r.introductions(now, ""), true
+		if len(r.seeds) > 0 {
+			// A seed now and then joins parts of the fleet that started apart.
+			near.To = append(near.To, r.seeds[r.rng.IntN(len(r.seeds))])
+		}
+	}
+	slices.Sort(near.To)
+	near.To = slices.Compact(near.To)
+	messages := []Message{near}
+	if r.beats%remoteEvery == 0 && r.isDelegate(now) {
+		messages = append(messages, r.remoteBeat(now, remote))
+	}
+	return messages
+}
+
+// forgetSilent drops hosts that were silent for long, and returns the peer
+// addresses of the region and the other regions.
+func (r *Roster) forgetSilent(now time.Time) (local []string, remote map[string]bool) {
+	remote = make(map[string]bool)
 	for id, m := range r.members {
-		if now.Sub(m.heard) > forgetAfter {
+		switch {
+		case now.Sub(m.heard) > forgetAfter:
 			delete(r.members, id)
-			continue
-		}
-		if m.beat.Region == r.self.Region {
-			targets = append(targets, m.beat.PeerAddress)
-			continue
+		case m.beat.Region == r.self.Region:
+			local = append(local, m.beat.PeerAddress)
+		default:
+			remote[m.beat.Region] = true
 		}
-		remote[m.beat.Region] = append(remote[m.beat.Region], m.beat.PeerAddress)
 	}
-	for _, addresses := range remote {
-		targets = append(targets, addresses[r.rng.IntN(len(addresses))])
-	}
-	if len(targets) == 0 {
-		return slices.Clone(r.seeds)
+	return local, remote
+}
+
+func (r *Roster) isDelegate(now time.Time) bool {
+	return containsHost(r.Entries(now, r.self.Region, delegates), r.self.ID) || r.self.State != Ready
+}
+
+// remoteBeat goes to one delegate of each other region.
+func (r *Roster) remoteBeat(now time.Time, regions map[string]bool) Message {
+	message := Message{Whole: true, Introduced: r.introductions(now, r.self.Region)}
+	for region := range regions {
+		known := r.Entries(now, region, delegates)
+		if len(known) == 0 {
+			known = r.anyOf(region)
+		}
+		message.To = append(message.To, known[r.rng.IntN(len(known))].PeerAddress)
 	}
-	// A seed now and then joins halves of the fleet that started apart.
-	if len(r.seeds) > 0 {
-		targets = append(targets, r.seeds[r.rng.IntN(len(r.seeds))])
+	return message
+}
+
+func (r *Roster) anyOf(region string) []Beat {
+	var beats []Beat
+	for _, m := range r.members {
+		if m.beat.Region == region {
+			beats = append(beats, m.beat)
+		}
 	}
-	slices.Sort(targets)
-	return slices.Compact(targets)
+	return beats
+}
+
+func containsHost(beats []Beat, id string) bool {
+	return slices.ContainsFunc(beats, func(b Beat) bool { return b.ID == id })
 }
 
-// Introductions returns live hosts for a receiver that may not know them: all
-// those of the region, then others, up to a bound.
-func (r *Roster) Introductions(now time.Time) []Introduction {
+// introductions returns live hosts of a region, or of all regions with those
+// of the own region first.
+func (r *Roster) introductions(now time.Time, region string) []Introduction {
 	var found []Introduction
 	for _, m := range r.members {
-		if r.isLive(now, m) {
+		if r.isLive(now, m) && (region == "" || m.beat.Region == region) {
 			found = append(found, Introduction{Beat: m.beat, Age: now.Sub(m.heard)})
 		}
 	}
@@ -159,6 +242,33 @@
 	return found[:min(len(found), maxIntroduced)]
 }
 
+// Peer returns what is known of another host.
+func (r *Roster) Peer(id string) (Beat, bool) {
+	m := r.members[id]
+	if m == nil {
+		return Beat{}, false
+	}
+	return m.beat, true
+}
+
+// IsReader reports whether this host reads the store for its region. Hosts
+// that the store does not answer are replaced, but those that rank highest go
+// on trying.
+func (r *Roster) IsReader(now time.Time) bool {
+	var all, answered []Beat
+	for _, beat := range r.Live(now) {
+		if beat.Region != r.self.Region || beat.State == Leaving {
+			continue
+		}
+		all = append(all, beat)
+		if !beat.StoreLost {
+			answered = append(answered, beat)
+		}
+	}
+	return containsHost(spread(r.self.Region+"/store", all, readers), r.self.ID) ||
+		containsHost(spread(r.self.Region+"/store", answered, readers), r.self.ID)
+}
+
 func (r *Roster) remoteness(region string) int {
 	if region == r.self.Region {
 		return 0
@@ -191,34 +301,35 @@
 // a host comes or goes. Callers on few hosts let each of these see enough
 // answers to know the load of the servers.
 func (r *Roster) Entries(now time.Time, region string, count int) []Beat {
-	byDomain := make(map[string][]Beat)
-	var domains []string
+	var ready []Beat
 	for _, beat := range r.Live(now) {
-		if beat.Region != region || beat.State != Ready {
-			continue
-		}
-		if byDomain[beat.Domain] == nil {
-			domains = append(domains, beat.Domain)
+		if beat.Region == region && beat.State == Ready {
+			ready = append(ready, beat)
 		}
+	}
+	return spread(region, ready, count)
+}
+
+// spread chooses up to count hosts by rendezvous hashing, one failure domain
+// after the other.
+func spread(key string, hosts []Beat, count int) []Beat {
+	byDomain := make(map[string][]Beat)
+	for _, beat := range hosts {
 		byDomain[beat.Domain] = append(byDomain[beat.Domain], beat)
 	}
-	slices.Sort(domains)
 	for _, beats := range byDomain {
 		slices.SortFunc(beats, func(a, b Beat) int {
-			return cmp.Compare(rendezvous.Score(region, b.ID), rendezvous.Score(region, a.ID))
+			return cmp.Compare(rendezvous.Score(key, b.ID), rendezvous.Score(key, a.ID))
 		})
 	}
+	domains := slices.Sorted(maps.Keys(byDomain))
 	var chosen []Beat
-	for round := 0; len(chosen) < count; round++ {
-		before := len(chosen)
+	for round := 0; len(chosen) < min(count, len(hosts)); round++ {
 		for _, domain := range domains {
 			if round < len(byDomain[domain]) && len(chosen) < count {
 				chosen = append(chosen, byDomain[domain][round])
 			}
 		}
-		if len(chosen) == before {
-			break
-		}
 	}
 	return chosen
 }
