Send servers no more than their slots, and read the store once at the start

Cause: servers report their load with the answered request in it, which hosts counted twice; this hid that a request above the slots is queued first come, first served at the server, where no urgent one passes it. After the loss of all power hosts waited 500 ms for peers that knew nothing either.

Change: the report is corrected, no overcommit, every host lists the store once when it starts; readers go on from there. Two entry hosts for 24 slots of a region instead of 16.

--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -22,7 +22,7 @@
 	// slotsPerEntry is the number of server slots, of the fleet divided by its
 	// regions, for which one entry host carries the requests. The fewer hosts
 	// share the servers, the more each of them knows of their load.
-	slotsPerEntry = 16
+	slotsPerEntry = 24
 	// maxAddresses bounds a look-up answer.
 	maxAddresses = 64
 )
--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -16,9 +16,6 @@
 // show who has missed something, and it pulls the collection from a peer.
 
 const (
-	// readerDelay is how long after its start a host waits for heartbeats
-	// before it may find that it has to read the store.
-	readerDelay = 500 * time.Millisecond
 	// pullAfter and pullRemoteAfter are how long a peer has to be ahead before
 	// a collection is pulled from it: pushes need a moment, and bytes between
 	// regions are priced.
@@ -38,10 +35,13 @@
 	remote  bool
 }
 
-// readsStore is the inventory's role.
+// readsStore is the inventory's role. A host that knows nothing yet reads for
+// itself, which is faster than to find peers first.
 func (h *Host) readsStore(now time.Time) bool {
-	if now.Sub(h.started) < readerDelay {
-		return false
+	for _, c := range inventory.Collections {
+		if h.reader.Mark(c).AsOf == 0 {
+			return true
+		}
 	}
 	h.rosterMu.Lock()
 	defer h.rosterMu.Unlock()
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -155,11 +155,11 @@
 func (r *Reader) follow(ctx context.Context, c Collection) {
 	pause := newPause()
 	for ctx.Err() == nil {
-		if !r.role(r.now()) {
+		after := r.Mark(c).AsOf
+		if after > 0 && !r.role(r.now()) {
 			sleep(ctx, roleInterval)
 			continue
 		}
-		after := r.Mark(c).AsOf
 		if after == 0 {
 			batch, err := r.source.List(ctx, c)
 			if !r.note(ctx, c, err) {
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// overcommit is how many requests above its slots a server is given, so
-	// that the next one is there when a slot becomes free.
-	overcommit = 1
 	// reportHalfLife is how fast the reported load of other hosts loses its
 	// meaning: about two requests take that long.
 	reportHalfLife = 600 * time.Millisecond
@@ -81,8 +78,10 @@
 	return float64(len(s.running)) + s.others.get(now)
 }
 
+// hasRoom allows no more requests than slots: a request that waits at the host
+// can still go elsewhere, and urgent ones pass it.
 func (s *server) hasRoom(now time.Time) bool {
-	return s.busy(now) < float64(s.Slots+overcommit)
+	return s.busy(now) < float64(s.Slots)
 }
 
 // wait is the expected time until a slot is free for a request with ahead
@@ -158,11 +157,12 @@
 		return nil
 	}
 	job.server = nil
+	// The report counts the answered request itself.
+	mine := len(server.running)
 	delete(server.running, job)
 	s.learn(now, server, job, result)
 	if load != nil {
-		reported := float64(load.Running + load.Waiting - len(server.running))
-		server.others.set(now, max(reported, 0))
+		server.others.set(now, max(float64(load.Running+load.Waiting-mine), 0))
 	}
 	return s.pump(now, s.service(job.Service))
 }
@@ -177,7 +177,7 @@
 		return
 	case Shed:
 		// The server is full: nothing more is sent until its queue has moved.
-		server.others.set(now, float64(server.Slots+overcommit))
+		server.others.set(now, float64(server.Slots))
 		return
 	}
 	server.errors.mix(now, 0, errorWeight)
