Keep the place of closed servers in the order of an object's servers

Cause: an evacuation changed the sum of the slots, and with it the shares by which regions keep their objects: objects moved that were on no server of the evacuated domain, and each of them ran cold again, twice.

Change: draining and evacuated servers stay in the placement and get nothing; shares are rounded to a twelfth.

--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -198,7 +198,7 @@
 type verdictReason scheduler.Verdict
 
 func (v verdictReason) Error() string {
-	return "object " + v.Job.Object.Key + " known " + strconv.FormatBool(v.Known) + " rank " + strconv.Itoa(v.Rank) +
+	return "class " + v.Job.Class + " object " + v.Job.Object.Key + " known " + strconv.FormatBool(v.Known) + " rank " + strconv.Itoa(v.Rank) +
 		" expected " + v.Expected.String() + " wait " + v.Wait.String() + " busy " + strconv.FormatFloat(v.Busy, 'f', 1, 64)
 }
 
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -32,22 +32,25 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var usable []scheduler.Server
+	var listed []scheduler.Server
 	var restarted []string
 	slots := 0
 	for id, server := range view.Servers {
 		if h.track(id, server) {
 			restarted = append(restarted, id)
 		}
-		if server.State != fleet.Ready || view.Evacuated[server.Domain] {
-			continue
-		}
-		usable = append(usable, scheduler.Server{ID: id, Service: server.Service, Region: server.Region, Slots: server.Slots})
+		listed = append(listed, scheduler.Server{
+			ID:      id,
+			Service: server.Service,
+			Region:  server.Region,
+			Slots:   server.Slots,
+			Closed:  server.State != fleet.Ready || view.Evacuated[server.Domain],
+		})
 		slots += server.Slots
 	}
 	h.slots.Store(int64(slots))
 	h.untrack(view)
-	verdicts := h.scheduler.SetServers(now, usable, h.regionCount())
+	verdicts := h.scheduler.SetServers(now, listed, h.regionCount())
 	for _, id := range restarted {
 		h.scheduler.Forget(id)
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -62,7 +62,14 @@
 		return 0
 	}
 	share := float64(v.slots[region]) / float64(v.total)
-	return min(1, share*float64(v.callerRegions)*localHeadroom)
+	return min(1, coarse(share*float64(v.callerRegions)*localHeadroom))
+}
+
+// coarse rounds a share, so that the loss of a few servers moves only their own
+// objects and not those that are placed by the shares.
+func coarse(share float64) float64 {
+	const steps = 12
+	return math.Round(share*steps) / steps
 }
 
 // Object is what is placed.
@@ -128,7 +135,7 @@
 	// A region without room still has a small weight, so that objects find a
 	// server when every region is full.
 	const least = 0.02
-	return float64(m.Slots) * max(v.room[m.Region]/float64(v.slots[m.Region]), least)
+	return float64(m.Slots) * max(coarse(v.room[m.Region]/float64(v.slots[m.Region])), least)
 }
 
 // score is the weighted rendezvous score: the member with the highest one wins
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -36,6 +36,9 @@
 	Service string
 	Region  string
 	Slots   int
+	// Closed servers get no new requests. They keep their place in the order of
+	// servers, so that no other object moves while they drain or are evacuated.
+	Closed bool
 }
 
 type server struct {
@@ -70,7 +73,7 @@
 
 // usable reports whether the server may get a request now.
 func (s *server) usable(now time.Time) bool {
-	return !s.down && (!s.isCold(now) || s.cold.has(now))
+	return !s.down && !s.Closed && (!s.isCold(now) || s.cold.has(now))
 }
 
 // busy is the number of requests that the server runs or queues.
@@ -194,7 +197,7 @@
 	}
 }
 
-// SetServers replaces the list of usable servers. callerRegions is the number
+// SetServers replaces the list of servers. callerRegions is the number
 // of regions that callers come from.
 func (s *Scheduler) SetServers(now time.Time, specs []Server, callerRegions int) []Verdict {
 	members := make(map[string][]placement.Member)
