Let entry hosts of a region tell each other their use of the servers

Cause: each host knew the load of a server only from its own answers, and which server holds an object only from its own requests; two hosts sent requests to a server that the other had filled, and objects ended on several servers.

--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -109,6 +109,7 @@
 			h.Metrics.Add("pushes_out_of_order", 1)
 		}
 	}
+	h.heardOfServers(now, message)
 	h.rosterMu.Lock()
 	peer, known := h.roster.Peer(message.GetSelf().GetId())
 	h.rosterMu.Unlock()
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -12,6 +12,11 @@
 	reportHalfLife = 600 * time.Millisecond
 	// warmFor is how long a server is assumed to hold an object's state.
 	warmFor = 60 * time.Second
+	// reportHeldEvery is how often peers are told again of a held object.
+	reportHeldEvery = 10 * time.Second
+	// peerUseFor is how long a peer's report counts; peers in use report
+	// several times as often.
+	peerUseFor = 500 * time.Millisecond
 	// maxHeld bounds the objects remembered of a server.
 	maxHeld = 512
 	// slownessHalfLife and errorHalfLife let a server that is avoided be tried
@@ -49,12 +54,19 @@
 	cold      windowLimit
 
 	running map[*Job]struct{}
+	// others is the load of hosts that do not report theirs.
 	others  decaying
 	slow    decaying
 	errors  decaying
 	service time.Duration
 	// held has the objects that the server completed, with the time.
-	held map[string]time.Time
+	held map[uint64]time.Time
+	// gained are the objects that the server has come to hold since the last
+	// report to peers; reported is the number of requests in that report.
+	gained   []uint64
+	reported int
+	// peers has what other hosts of the region have at the server.
+	peers map[string]peerUse
 }
 
 func newServer(spec Server) *server {
@@ -65,7 +77,8 @@
 		slow:    decaying{rest: 1, halfLife: slownessHalfLife},
 		errors:  decaying{halfLife: errorHalfLife},
 		service: initialService,
-		held:    make(map[string]time.Time),
+		held:    make(map[uint64]time.Time),
+		peers:   make(map[string]peerUse),
 	}
 }
 
@@ -78,7 +91,18 @@
 
 // busy is the number of requests that the server runs or queues.
 func (s *server) busy(now time.Time) float64 {
-	return float64(len(s.running)) + s.others.get(now)
+	return float64(len(s.running)+s.ofPeers(now)) + s.others.get(now)
+}
+
+// ofPeers is the number of requests that peers have reported.
+func (s *server) ofPeers(now time.Time) int {
+	sum := 0
+	for _, use := range s.peers {
+		if now.Sub(use.at) < peerUseFor {
+			sum += use.running
+		}
+	}
+	return sum
 }
 
 // hasRoom allows no more requests than slots: a request that waits at the host
@@ -115,15 +139,24 @@
 }
 
 func (s *server) holds(now time.Time, key string) bool {
-	at, ok := s.held[key]
+	at, ok := s.held[keyHash(key)]
 	return ok && now.Sub(at) < warmFor
 }
 
+// hold notes an object that the server has completed.
 func (s *server) hold(now time.Time, key string) {
+	hash := keyHash(key)
+	if at, ok := s.held[hash]; !ok || now.Sub(at) > reportHeldEvery {
+		s.gained = append(s.gained, hash)
+	}
+	s.holdHash(now, hash)
+}
+
+func (s *server) holdHash(now time.Time, hash uint64) {
 	if len(s.held) >= maxHeld {
 		clear(s.held)
 	}
-	s.held[key] = now
+	s.held[hash] = now
 }
 
 func (s *server) start(now time.Time, job *Job) {
@@ -165,7 +198,7 @@
 	delete(server.running, job)
 	s.learn(now, server, job, result)
 	if load != nil {
-		server.others.set(now, max(float64(load.Running+load.Waiting-mine), 0))
+		server.others.set(now, max(float64(load.Running+load.Waiting-mine-server.ofPeers(now)), 0))
 	}
 	return s.pump(now, s.service(job.Service))
 }
