Keep lapsed servers out of what peers take, and only after an outage

Ruled out: a late watch; the removal was known 16 ms after its confirmation.

Hosts that do not read the store start the grace when their readers have it back.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -73,9 +73,11 @@
 	rosterMu sync.Mutex
 	roster   *roster.Roster
 	// newsMu guards ahead: the peers that know more of a collection.
-	newsMu     sync.Mutex
-	ahead      map[inventory.Collection]peerAhead
-	beatSocket atomic.Pointer[net.PacketConn]
+	newsMu sync.Mutex
+	ahead  map[inventory.Collection]peerAhead
+	// readersLost belongs to the goroutine that receives heartbeats.
+	readersLost bool
+	beatSocket  atomic.Pointer[net.PacketConn]
 	// slots is the number of slots of all servers, for the number of entry hosts.
 	slots atomic.Int64
 }
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -157,6 +157,7 @@
 		h.roster.Heard(now, beatFromWire(other), time.Duration(other.GetAgeMillis())*time.Millisecond)
 	}
 	h.rosterMu.Unlock()
+	h.watchReaders(now)
 	h.heardOfStore(now, message)
 }
 
--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -35,6 +35,19 @@
 	remote  bool
 }
 
+// watchReaders notes when the store comes back for the readers of the region:
+// entries of living servers may have lapsed meanwhile, also for hosts that do
+// not read the store themselves.
+func (h *Host) watchReaders(now time.Time) {
+	h.rosterMu.Lock()
+	lost := h.roster.ReadersLost(now)
+	h.rosterMu.Unlock()
+	if h.readersLost && !lost {
+		h.reader.Regained()
+	}
+	h.readersLost = lost
+}
+
 // readsStore is the inventory's role. A host that knows nothing yet reads for
 // itself, which is faster than to find peers first.
 func (h *Host) readsStore(now time.Time) bool {
@@ -117,13 +130,13 @@
 		return
 	}
 	for _, state := range message.GetCollections() {
-		h.compare(now, inventory.Collection(state.GetCollection()), inventory.Mark{AsOf: state.GetAsOf(), Digest: state.GetDigest()},
+		h.compare(inventory.Collection(state.GetCollection()), inventory.Mark{AsOf: state.GetAsOf(), Digest: state.GetDigest()},
 			peerAhead{address: peer.PeerAddress, since: now, remote: peer.Region != h.Settings.Region})
 	}
 }
 
 // compare notes whether a peer knows more of a collection than this host.
-func (h *Host) compare(now time.Time, c inventory.Collection, theirs inventory.Mark, peer peerAhead) {
+func (h *Host) compare(c inventory.Collection, theirs inventory.Mark, peer peerAhead) {
 	mine := h.reader.Mark(c)
 	if theirs.AsOf > 0 && theirs.Digest == mine.Digest && mine.AsOf > 0 {
 		if theirs.AsOf > mine.AsOf {
@@ -131,8 +144,7 @@
 		}
 		return
 	}
-	// A reader may know less of lapsed entries at the same revision.
-	ahead := theirs.AsOf > mine.AsOf || theirs.AsOf == mine.AsOf && theirs.AsOf > 0 && !h.readsStore(now)
+	ahead := theirs.AsOf > mine.AsOf
 	h.newsMu.Lock()
 	defer h.newsMu.Unlock()
 	known, waiting := h.ahead[c]
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -138,17 +138,16 @@
 func (r *Reader) expireLapsed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.state.Mark(Servers)
-	removed := r.state.Expire(r.now())
-	if len(removed) == 0 {
-		return
-	}
-	change := Change{Collection: Servers, Before: before, AsOf: before.AsOf}
-	for _, name := range removed {
-		change.Objects = append(change.Objects, Object{Name: name, Deleted: true})
+	if r.state.Expire(r.now()) {
+		r.publish()
 	}
-	r.publish()
-	r.onChange(change)
+}
+
+// Regained notes that the store is back for the hosts that read it.
+func (r *Reader) Regained() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state.Regained(r.now())
 }
 
 // follow reads a collection while that is this host's role.
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -13,6 +13,11 @@
 // are kept after its return: living servers are back within about 2 s.
 const lapseGrace = 2500 * time.Millisecond
 
+// lapseWindow is how long after the first news of servers since the return of
+// the store a removal may be due to the outage. Later ones are taken as they
+// come.
+const lapseWindow = 400 * time.Millisecond
+
 // State folds objects of the store into a view. It does no I/O and is not safe
 // for concurrent use.
 type State struct {
@@ -22,9 +27,13 @@
 	view    View
 	objects map[Collection]map[string]Object
 	// asOf is the revision of the store for which a collection holds.
-	asOf       map[Collection]uint64
+	asOf map[Collection]uint64
+	// lapsed are servers that this host still uses although their entries have
+	// vanished. They are no part of marks and snapshots.
 	lapsed     map[string]time.Time
-	graceUntil time.Time
+	regainedAt time.Time
+	lapseUntil time.Time
+	newsDue    bool
 }
 
 // NewState returns an empty state. onSkip is told of entries that cannot be
@@ -45,7 +54,14 @@
 }
 
 // Regained notes that the store is back after an outage.
-func (s *State) Regained(now time.Time) { s.graceUntil = now.Add(lapseGrace) }
+func (s *State) Regained(now time.Time) { s.regainedAt, s.newsDue = now, true }
+
+// news opens the window in which removals are taken for lapses.
+func (s *State) news(now time.Time, c Collection) {
+	if c == Servers && s.newsDue {
+		s.lapseUntil, s.newsDue = now.Add(lapseWindow), false
+	}
+}
 
 // Listing replaces a whole collection. A listing that is older than what is
 // known changes nothing.
@@ -53,6 +69,7 @@
 	if batch.Revision < s.asOf[c] {
 		return
 	}
+	s.news(now, c)
 	listed := make(map[string]bool, len(batch.Objects))
 	for _, o := range batch.Objects {
 		listed[o.Name] = true
@@ -68,6 +85,7 @@
 
 // Changes applies the changes of a collection.
 func (s *State) Changes(now time.Time, c Collection, batch Batch) {
+	s.news(now, c)
 	for _, o := range batch.Objects {
 		if o.Deleted {
 			s.remove(now, c, o.Name)
@@ -140,13 +158,15 @@
 	case Configuration:
 		// The last version stays in force.
 	case Servers:
+		delete(s.objects[c], name)
 		server, ok := s.view.Servers[name]
-		if ok && server.State == fleet.Ready && now.Before(s.graceUntil) {
-			s.lapsed[name] = s.graceUntil
+		if ok && server.State == fleet.Ready && now.Before(s.lapseUntil) {
+			s.lapsed[name] = s.regainedAt.Add(lapseGrace)
 			return
 		}
-		delete(s.view.Servers, name)
-		delete(s.objects[c], name)
+		if _, lapsed := s.lapsed[name]; !lapsed {
+			delete(s.view.Servers, name)
+		}
 	case Evacuations:
 		if s.view.Evacuated[name] {
 			s.view.ReleasedAt[name] = now
@@ -156,20 +176,19 @@
 	}
 }
 
-// Expire removes lapsed entries that did not come back in time and returns
-// their names.
-func (s *State) Expire(now time.Time) []string {
-	var removed []string
+// Expire drops lapsed servers that did not come back in time. It reports
+// whether the view changed.
+func (s *State) Expire(now time.Time) bool {
+	changed := false
 	for name, until := range s.lapsed {
 		if now.Before(until) {
 			continue
 		}
 		delete(s.lapsed, name)
 		delete(s.view.Servers, name)
-		delete(s.objects[Servers], name)
-		removed = append(removed, name)
+		changed = true
 	}
-	return removed
+	return changed
 }
 
 // View returns a copy of the current view.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -242,6 +242,19 @@
 	return found[:min(len(found), maxIntroduced)]
 }
 
+// ReadersLost reports whether the store answers none of the hosts that read it
+// for the region.
+func (r *Roster) ReadersLost(now time.Time) bool {
+	var near []Beat
+	for _, beat := range r.Live(now) {
+		if beat.Region == r.self.Region && beat.State != Leaving {
+			near = append(near, beat)
+		}
+	}
+	reading := spread(r.self.Region+"/store", near, readers)
+	return len(reading) > 0 && !slices.ContainsFunc(reading, func(b Beat) bool { return !b.StoreLost })
+}
+
 // Peer returns what is known of another host.
 func (r *Roster) Peer(id string) (Beat, bool) {
 	m := r.members[id]
--- /dev/null
+++ b/pkg/scheduler/scheduler_test.go
@@ -0,0 +1,227 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/placement"
+)
+
+var start = time.Unix(1000, 0)
+
+func servers(n, slots int) []Server {
+	var list []Server
+	for i := range n {
+		list = append(list, Server{ID: fmt.Sprintf("s%d", i), Service: "desk", Region: "west", Slots: slots})
+	}
+	return list
+}
+
+func newScheduler(list []Server) *Scheduler {
+	s := New("west")
+	s.SetServers(start, list, 1)
+	return s
+}
+
+func newJob(now time.Time, key string, priority int, limit time.Duration) *Job {
+	const target = 500 * time.Millisecond
+	return &Job{
+		Class: "status", Service: "desk", Sticky: true, Priority: priority, Target: target,
+		Object: placement.Object{Key: key, Origin: "west"}, AimAt: now.Add(target), GiveUpAt: now.Add(limit),
+	}
+}
+
+func granted(verdicts []Verdict, job *Job) string {
+	for _, v := range verdicts {
+		if v.Job == job {
+			return v.Server
+		}
+	}
+	return ""
+}
+
+// Guards against requests that queue at a server, where no urgent one passes
+// them, and against a queue in the order of arrival.
+func TestUrgentJobGetsTheNextSlot(t *testing.T) {
+	s := newScheduler(servers(1, 1))
+	running, later, urgent := newJob(start, "a", 1, time.Minute), newJob(start, "a", 1, time.Minute), newJob(start, "a", 0, time.Minute)
+	if granted(s.Submit(start, running), running) == "" {
+		t.Fatal("an idle server was not granted")
+	}
+	for _, job := range []*Job{later, urgent} {
+		if v := s.Submit(start, job); len(v) != 0 {
+			t.Fatalf("verdict %+v while the only slot is taken", v)
+		}
+	}
+	now := start.Add(100 * time.Millisecond)
+	verdicts := s.Done(now, running, Answered, nil)
+	if granted(verdicts, urgent) == "" || granted(verdicts, later) != "" {
+		t.Errorf("verdicts %+v, want the urgent job only", verdicts)
+	}
+}
+
+// Guards against late requests that take the slots of those that can still
+// meet their target.
+func TestJobInTimeGoesBeforeALateOne(t *testing.T) {
+	s := newScheduler(servers(1, 1))
+	running := newJob(start, "a", 0, time.Minute)
+	s.Submit(start, running)
+	late := newJob(start.Add(-time.Second), "a", 0, time.Minute)
+	s.Submit(start, late)
+	inTime := newJob(start, "a", 1, time.Minute)
+	s.Submit(start, inTime)
+	if verdicts := s.Done(start.Add(100*time.Millisecond), running, Answered, nil); granted(verdicts, inTime) == "" {
+		t.Errorf("verdicts %+v, want the job that is in time", verdicts)
+	}
+}
+
+// Guards against requests that wait for an end that is known to come too late.
+func TestHopelessJobIsRefusedAtOnce(t *testing.T) {
+	s := newScheduler(servers(1, 1))
+	for range 20 {
+		s.Submit(start, newJob(start, "a", 0, time.Minute))
+	}
+	job := newJob(start, "a", 0, 300*time.Millisecond)
+	verdicts := s.Submit(start, job)
+	for _, v := range verdicts {
+		if v.Job == job && v.Refused == WouldMissDeadline && v.RetryAfter >= MinRetryAfter {
+			return
+		}
+	}
+	t.Errorf("verdicts %+v, want a refusal with a pause", verdicts)
+}
+
+// Guards against silence towards callers of a service without servers.
+func TestNoServerIsARefusal(t *testing.T) {
+	s := New("west")
+	verdicts := s.Submit(start, newJob(start, "a", 0, time.Minute))
+	if len(verdicts) != 1 || verdicts[0].Refused != NoServer {
+		t.Errorf("verdicts %+v", verdicts)
+	}
+}
+
+// Guards against an object that moves with each request: its state would have
+// to be loaded again.
+func TestObjectStaysOnItsServer(t *testing.T) {
+	s := newScheduler(servers(8, 3))
+	now := start
+	first := ""
+	for range 20 {
+		job := newJob(now, "object", 0, time.Minute)
+		server := granted(s.Submit(now, job), job)
+		if first == "" {
+			first = server
+		}
+		if server != first {
+			t.Fatalf("the object moved from %s to %s", first, server)
+		}
+		now = now.Add(150 * time.Millisecond)
+		s.Done(now, job, Answered, &Load{Running: 1})
+	}
+}
+
+// Guards against one host that overloads a cold server: all hosts together may
+// send it a few requests a second.
+func TestColdServerIsSparedInEveryWindow(t *testing.T) {
+	s := newScheduler(servers(1, 10))
+	s.SetCold("s0", start.Add(10*time.Second), 2)
+	var sent []time.Time
+	for step := range 100 {
+		now := start.Add(time.Duration(step) * 50 * time.Millisecond)
+		job := newJob(now, "a", 0, time.Minute)
+		if granted(s.Submit(now, job), job) != "" {
+			sent = append(sent, now)
+			s.Done(now.Add(time.Millisecond), job, Answered, nil)
+		}
+	}
+	for i := 2; i < len(sent); i++ {
+		if sent[i].Sub(sent[i-2]) < time.Second {
+			t.Fatalf("three requests within a second: %v", sent[i-2:i+1])
+		}
+	}
+	if len(sent) < 6 {
+		t.Errorf("only %d requests in 5 s", len(sent))
+	}
+}
+
+// Guards against new work for servers that drain, are evacuated, are down, or
+// have had the request.
+func TestUnusableServersGetNothing(t *testing.T) {
+	list := servers(4, 3)
+	list[0].Closed = true
+	s := newScheduler(list)
+	s.SetDown("s1")
+	for i := range 50 {
+		job := newJob(start, fmt.Sprint(i), 0, time.Minute)
+		job.Tried = []string{"s2"}
+		server := granted(s.Submit(start, job), job)
+		if server != "s3" && server != "" {
+			t.Fatalf("object %d goes to %s", i, server)
+		}
+	}
+	s.SetUp("s1")
+	for _, v := range s.Tick(start) {
+		if v.Server == "s1" {
+			return
+		}
+	}
+	t.Error("a server that is up again gets no waiting job")
+}
+
+// Guards against hosts that fill a server which their peers keep busy.
+func TestUseOfPeersCounts(t *testing.T) {
+	a, b := newScheduler(servers(1, 2)), newScheduler(servers(1, 2))
+	for range 2 {
+		a.Submit(start, newJob(start, "a", 0, time.Minute))
+	}
+	b.PeerReported(start, "host-a", a.Report(false))
+	job := newJob(start, "a", 0, time.Minute)
+	if server := granted(b.Submit(start, job), job); server != "" {
+		t.Fatal("a server that a peer has filled was granted")
+	}
+	if len(a.Report(false)) != 0 {
+		t.Error("an unchanged use is reported again")
+	}
+	// A peer that falls silent does not block the server for ever.
+	if verdicts := b.Tick(start.Add(time.Second)); granted(verdicts, job) == "" {
+		t.Errorf("verdicts %+v after the peer fell silent", verdicts)
+	}
+}
+
+// Guards against hosts that load an object on several servers.
+func TestPeersAgreeWhichServerHoldsAnObject(t *testing.T) {
+	a, b := newScheduler(servers(3, 1)), newScheduler(servers(3, 1))
+	first := newJob(start, "object", 0, time.Minute)
+	primary := granted(a.Submit(start, first), first)
+	// The first server is busy for long, so the object is loaded on another.
+	second := newJob(start, "object", 0, time.Minute)
+	second.Tried = []string{primary}
+	other := granted(a.Submit(start, second), second)
+	a.Done(start.Add(600*time.Millisecond), second, Answered, nil)
+	now := start.Add(650 * time.Millisecond)
+	b.PeerReported(now, "host-a", a.Report(true))
+	job := newJob(now, "object", 0, time.Minute)
+	if server := granted(b.Submit(now, job), job); server != other {
+		t.Errorf("the peer sends the object to %q, it is held by %q", server, other)
+	}
+}
+
+// Guards against a server that turns slow or fails and keeps its requests.
+func TestFailingServerIsAvoidedAndTriedAgain(t *testing.T) {
+	s := newScheduler(servers(2, 3))
+	now := start
+	job := newJob(now, "object", 0, time.Minute)
+	primary := granted(s.Submit(now, job), job)
+	for range 6 {
+		s.Done(now, job, Failed, nil)
+		job = newJob(now, "object", 0, time.Minute)
+		if server := granted(s.Submit(now, job), job); server != primary {
+			s.Done(now, job, Answered, nil)
+			now = now.Add(time.Minute)
+			job = newJob(now, "object", 0, time.Minute)
+			return
+		}
+	}
+	t.Error("a server that fails every request keeps the object")
+}
