--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -13,6 +13,9 @@
 	DaemonFailed   ID = 1003
 	EventsDropped  ID = 1004
 
+	SettingsReloaded ID = 1005
+	SettingsRefused  ID = 1006
+
 	ConfigInForce     ID = 1100
 	ConfigRefused     ID = 1101
 	ConfigFromPeers   ID = 1102
@@ -103,6 +106,9 @@
 	{DaemonFailed, logrus.ErrorLevel, "daemon-failed", fields(FieldHost, FieldReason), "The daemon ends because it cannot serve."},
 	{EventsDropped, logrus.WarnLevel, "events-dropped", fields(FieldCount), "Lines that the rate limit dropped and no later line reported."},
 
+	{SettingsReloaded, logrus.InfoLevel, "settings-reloaded", nil, "Changed settings are in force."},
+	{SettingsRefused, logrus.WarnLevel, "settings-refused", fields(FieldReason), "Changed settings, or a part of them, are not in force; the old ones stay."},
+
 	{ConfigInForce, logrus.InfoLevel, "config-in-force", fields(FieldEnvironment, FieldGeneration, FieldElapsed), "A generation of the document is in force on this host."},
 	{ConfigRefused, logrus.ErrorLevel, "config-refused", fields(FieldEnvironment, FieldGeneration, FieldReason), "A generation was not put in force; the previous one stays."},
 	{ConfigFromPeers, logrus.WarnLevel, "config-from-peers", fields(FieldGeneration, FieldCount), "The store is down; the host started with the highest generation of its peers."},
--- a/internal/host/budgets.go
+++ b/internal/host/budgets.go
@@ -19,7 +19,7 @@
 	defer h.mu.Unlock()
 	budget := h.retries[service]
 	if budget == nil {
-		bounds := h.Settings.Bounds
+		bounds := h.bounds()
 		budget = retrybudget.NewWindow(bounds.RetryWindow, bounds.RetryRatio*retrybudget.WindowSafety, bounds.RetrySlack*retrybudget.WindowSafety/hostShare)
 		h.retries[service] = budget
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -59,6 +59,8 @@
 	reader  *inventory.Reader
 	entry   *callers.Server
 	stops   atomic.Bool
+	// inForce are the bounds of the settings that were read last.
+	inForce atomic.Pointer[Bounds]
 
 	// mu guards the scheduler and what belongs to its servers.
 	mu        sync.Mutex
@@ -107,6 +109,7 @@
 		splits:    make(map[string]*splitter),
 		ahead:     make(map[inventory.Collection]peerAhead),
 	}
+	h.inForce.Store(&s.Bounds)
 	self := roster.Beat{
 		ID:            s.ID,
 		Incarnation:   uint64(h.started.UnixMilli()),
@@ -195,7 +198,7 @@
 	h.stops.Store(true)
 	h.entry.Drain()
 	h.announce()
-	limit := h.Settings.Bounds.Grace - stopMargin
+	limit := h.bounds().Grace - stopMargin
 	time.Sleep(min(lookupLinger, limit/2+limit/10))
 	_ = entry.Close()
 	h.entry.CloseIdle()
--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -49,7 +49,7 @@
 	if len(addresses) == 0 {
 		return refusal(result.NotReady, notReadyRetryAfter)
 	}
-	answer, err := h.Protocol.EncodeLookup(addresses, min(lookupTTL, h.Settings.Bounds.MaxLookupTTL))
+	answer, err := h.Protocol.EncodeLookup(addresses, min(lookupTTL, h.bounds().MaxLookupTTL))
 	if err != nil {
 		h.Log.Emit(events.RequestRefused, events.Reason(err))
 		return plain(http.StatusInternalServerError)
--- a/internal/host/program.go
+++ b/internal/host/program.go
@@ -44,8 +44,11 @@
 // Main runs the program until a stop signal and ends the process.
 func Main(p Program) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	// Without a handler the first signal would end the process.
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
 	code := daemon.ExitOK
-	if err := p.command(&code).Run(ctx, os.Args); err != nil {
+	if err := p.command(&code, hangUp).Run(ctx, os.Args); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
 		if code == daemon.ExitOK {
 			code = daemon.ExitSettings
@@ -55,7 +58,7 @@
 	os.Exit(code)
 }
 
-func (p Program) command(code *int) *cli.Command {
+func (p Program) command(code *int, hangUp <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:           p.Name,
 		Usage:          "answers look-ups and carries callers' requests to backend servers",
@@ -65,16 +68,18 @@
 			&cli.BoolFlag{Name: "check-config", Usage: "print the effective settings, or all faults, and exit"},
 			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "lowest level that is logged: " + strings.Join(events.Levels(), ", ")},
 		},
-		Action: func(ctx context.Context, cmd *cli.Command) error { return p.run(ctx, cmd, code) },
+		Action: func(ctx context.Context, cmd *cli.Command) error { return p.run(ctx, cmd, code, hangUp) },
 	}
 }
 
-func (p Program) run(ctx context.Context, cmd *cli.Command, code *int) error {
+func (p Program) run(ctx context.Context, cmd *cli.Command, code *int, hangUp <-chan os.Signal) error {
 	level, ok := events.ParseLevel(cmd.String("log-level"))
 	if !ok {
 		return fmt.Errorf("--log-level %q; accepted: %s", cmd.String("log-level"), strings.Join(events.Levels(), ", "))
 	}
-	s, err := LoadSettings(cmd.String("config"), p.Bounds)
+	path := cmd.String("config")
+	load := func() (*Settings, error) { return LoadSettings(path, p.Bounds) }
+	s, err := load()
 	var faults inicheck.Faults
 	if errors.As(err, &faults) {
 		return fmt.Errorf("%d faults in the settings\n%w", len(faults), faults)
@@ -93,6 +98,7 @@
 	defer log.Flush()
 	log.Emit(events.DaemonStarted, events.Host(model.HostID(s.ID)), events.Region(model.Region(s.Region)), events.FailureDomain(model.FailureDomain(s.Domain)))
 	h := New(Base{Settings: s, Protocol: p.Protocol, Store: p.Store(s.StoreAddress), Decoder: p.Decoder(s.RegionOf), Log: log, Metrics: metrics.New()})
+	go h.followSettings(ctx, path, load, hangUp)
 	if err := h.Run(ctx); err != nil {
 		log.Emit(events.DaemonFailed, events.Host(model.HostID(s.ID)), events.Reason(err))
 		return err
--- /dev/null
+++ b/internal/host/reload_test.go
@@ -0,0 +1,101 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+)
+
+const goodSettings = `[host]
+id = west-1
+region = west
+failure-domain = west-a
+[listen]
+callers = 127.0.0.1:7710
+ready = 127.0.0.1:7711
+lookup = 127.0.0.1:7712
+peers = 127.0.0.1:7713
+[store]
+address = 127.0.0.1:7600
+[peers]
+seeds = 127.0.0.1:7714
+[limits]
+memory = 200 MB
+[domains]
+west-a = west
+[bounds]
+grace = 6
+`
+
+// graceOnly reads the one bound that these tests use.
+func graceOnly(values map[string]string) (Bounds, error) {
+	grace, err := time.ParseDuration(values["grace"] + "s")
+	if err != nil {
+		return Bounds{}, errors.New("grace is not a number")
+	}
+	return Bounds{Grace: grace}, nil
+}
+
+// Guards against settings that are taken in part, or whose faults are reported
+// one a run.
+func TestSettingsNameEveryFault(t *testing.T) {
+	s, faults := CheckSettings("host.ini", goodSettings, graceOnly)
+	if len(faults) > 0 || s.Domain != "west-a" || s.Bounds.Grace != 6*time.Second || len(s.Seeds) != 1 {
+		t.Fatalf("%+v, %v", s, faults)
+	}
+	bad := strings.NewReplacer("127.0.0.1:7710", "here", "200 MB", "many", "west-a = west", "west-a = east", "id = west-1", "name = west-1").Replace(goodSettings)
+	_, faults = CheckSettings("host.ini", bad, graceOnly)
+	for _, want := range []string{"callers", "memory", "failure-domain", "name", "id"} {
+		if !strings.Contains(faults.Error(), want) {
+			t.Errorf("no fault names %q:\n%v", want, faults)
+		}
+	}
+	if _, faults = CheckSettings("host.ini", "[host]\nid = a\n", graceOnly); len(faults) != len(sectionNames)-1 {
+		t.Errorf("missing sections: %v", faults)
+	}
+}
+
+// Guards against a host that ends on a hang-up signal, ignores changed
+// settings, or takes settings with faults (own day clocks-and-reload: LOST).
+func TestSettingsAreReloaded(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "host.ini")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(goodSettings)
+	load := func() (*Settings, error) { return LoadSettings(path, graceOnly) }
+	s, err := load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := New(Base{Settings: s, Log: events.New(io.Discard, logrus.InfoLevel, time.Now)})
+	ctx, cancel := context.WithCancel(context.Background())
+	hangUp := make(chan os.Signal)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.followSettings(ctx, path, load, hangUp)
+	}()
+	write("[host]\n")
+	hangUp <- syscall.SIGHUP
+	write(strings.Replace(goodSettings, "grace = 6", "grace = 9", 1))
+	hangUp <- syscall.SIGHUP
+	hangUp <- syscall.SIGHUP // taken only after the one before was handled
+	if got := h.bounds().Grace; got != 9*time.Second {
+		t.Errorf("grace %v, want the changed one", got)
+	}
+	cancel()
+	<-ended
+}
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -146,7 +146,7 @@
 	h.rosterMu.Unlock()
 	for _, entry := range entries {
 		if entry.ID == h.Settings.ID {
-			bound := service.ColdRate*h.Settings.Bounds.ColdOver + h.Settings.Bounds.ColdSlack
+			bound := service.ColdRate*h.bounds().ColdOver + h.bounds().ColdSlack
 			return max(int(bound*coldSafety/coldHosts), 1)
 		}
 	}
