Refuse a late request after a quarter of its time

Ruled out: the processor; the busiest host used 0.06 of its 0.224 cores.

Change: a late request that has waited a quarter of its time is refused with a pause, so that its second try has time left.

The test fails without the limit.

--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -23,6 +23,10 @@
 	// maxWaiting bounds the requests of one service that wait on this host. At
 	// 20 ms a request it is more than any time limit lets through.
 	maxWaiting = 400
+	// maxLateWait is the share of its time that a late job waits for a server.
+	// Jobs in time go first, so its own place says little; what is left of its
+	// time has to do for a second try.
+	maxLateWait = 0.25
 	// noServerRetryAfter is the pause proposed while a service has no usable
 	// server: the store reports new servers within about a second.
 	noServerRetryAfter = 500 * time.Millisecond
@@ -225,7 +229,7 @@
 	if !ok {
 		return Verdict{Job: job, Refused: NoServer, RetryAfter: noServerRetryAfter}, true
 	}
-	if now.Add(best.total()).After(job.GiveUpAt) {
+	if now.Add(best.total()).After(job.GiveUpAt) || s.isPassedOver(now, job) {
 		return Verdict{
 			Job:        job,
 			Refused:    WouldMissDeadline,
@@ -250,6 +254,13 @@
 	}, true
 }
 
+// isPassedOver reports whether a job that is late anyway has waited so long
+// behind those in time that it is better told to come back.
+func (s *Scheduler) isPassedOver(now time.Time, job *Job) bool {
+	limit := time.Duration(maxLateWait * float64(job.GiveUpAt.Sub(job.arrived)))
+	return now.Sub(job.arrived) > limit && s.lateness(now, job) > 0
+}
+
 func (s *Scheduler) start(now time.Time, job *Job, o option) {
 	job.server = o.server
 	job.sent = running{since: now, expected: o.total(), service: o.service}
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -222,3 +222,31 @@
 	}
 	t.Error("a server that fails every request keeps the object")
 }
+
+// Guards against a late request that waits behind those in time until nobody
+// waits for it any more (own day flood-beside-crashes).
+func TestLateJobIsNotHeldToItsEnd(t *testing.T) {
+	s := newScheduler(servers(1, 1))
+	running := newJob(start, "a", 0, time.Minute)
+	s.Submit(start, running)
+	late := newJob(start, "a", 0, 4*time.Second)
+	late.AimAt = start
+	s.Submit(start, late)
+	for step := 1; step <= 30; step++ {
+		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+		inTime := newJob(now, "a", 0, time.Minute)
+		verdicts := append(s.Submit(now, inTime), s.Done(now, running, Answered, nil)...)
+		running = inTime
+		for _, v := range verdicts {
+			if v.Job != late {
+				continue
+			}
+			// A quarter of its 4 s, and a step.
+			if held := now.Sub(start); v.Refused != WouldMissDeadline || held > 1200*time.Millisecond {
+				t.Errorf("verdict %+v after %v", v, held)
+			}
+			return
+		}
+	}
+	t.Error("the late job is still held after 3 s")
+}
