Tell a newcomer the hosts of its region at once

Cause: found by the new tests of the roster: hosts whose seeds are all in another region learned of each other by chance only, and each took itself for entry host, delegate and reader of its region meanwhile.

Change: a host that hears another one for the first time answers with the hosts of that one's region.

In the test 1 of 8 hosts of the region was known after 8 s before, all after.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -39,6 +39,8 @@
 	// newcomerBeats is the number of heartbeats for which a host that has just
 	// started is taken not to know the others.
 	newcomerBeats = 6
+	// maxNewcomers bounds those that are answered in one interval.
+	maxNewcomers = 16
 	// delegates is the number of hosts of a region that speak to other regions.
 	delegates = 2
 	// readers is the number of hosts of a region that read the store for it.
@@ -89,6 +91,9 @@
 	seeds   []string
 	members map[string]*member
 	rng     *rand.Rand
+	// newcomers have spoken to this host for the first time; they may know
+	// nobody else of their region.
+	newcomers []Beat
 	// beats is the number of heartbeats so far.
 	beats int
 }
@@ -128,6 +133,9 @@
 			return
 		}
 		r.members[beat.ID] = &member{beat: beat, heard: at}
+		if age == 0 && len(r.newcomers) < maxNewcomers {
+			r.newcomers = append(r.newcomers, beat)
+		}
 		return
 	}
 	if !beat.isWhole() {
@@ -172,12 +180,27 @@
 	slices.Sort(near.To)
 	near.To = slices.Compact(near.To)
 	messages := []Message{near}
+	messages = append(messages, r.welcomes(now)...)
 	if r.beats%remoteEvery == 0 && r.isDelegate(now) {
 		messages = append(messages, r.remoteBeat(now, remote))
 	}
 	return messages
 }
 
+// welcomes tells hosts that are new to this one of the hosts of their region.
+func (r *Roster) welcomes(now time.Time) []Message {
+	var messages []Message
+	for _, newcomer := range r.newcomers {
+		messages = append(messages, Message{
+			To:         []string{newcomer.PeerAddress},
+			Introduced: r.introductions(now, newcomer.Region),
+			Whole:      true,
+		})
+	}
+	r.newcomers = nil
+	return messages
+}
+
 // forgetSilent drops hosts that were silent for long, and returns the peer
 // addresses of the region and the other regions.
 func (r *Roster) forgetSilent(now time.Time) (local []string, remote map[string]bool) {
--- /dev/null
+++ b/pkg/roster/roster_test.go
@@ -0,0 +1,248 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func beat(id, region, domain string) Beat {
+	return Beat{ID: id, Incarnation: 1, Region: region, Domain: domain, PeerAddress: "p-" + id, CallerAddress: "c-" + id, State: Ready}
+}
+
+func newRoster(self Beat, seeds ...string) *Roster {
+	return New(self, seeds, rand.New(rand.NewPCG(1, 2)))
+}
+
+// fleet returns the beats of n hosts in each of two domains of two regions.
+func fleet(n int) []Beat {
+	var beats []Beat
+	for _, region := range []string{"west", "east"} {
+		for _, domain := range []string{"a", "b"} {
+			for i := range n {
+				beats = append(beats, beat(fmt.Sprintf("%s-%s-%d", region, domain, i), region, region+"-"+domain))
+			}
+		}
+	}
+	return beats
+}
+
+// network delivers the heartbeats of all hosts at once, except to and from
+// those that are down.
+type network struct {
+	hosts map[string]*Roster
+	down  map[string]bool
+}
+
+func newNetwork(beats []Beat, seeds ...string) *network {
+	n := &network{hosts: make(map[string]*Roster), down: make(map[string]bool)}
+	for _, b := range beats {
+		n.hosts[b.PeerAddress] = newRoster(b, seeds...)
+	}
+	return n
+}
+
+// run lets time pass in steps of the heartbeat interval.
+func (n *network) run(from time.Time, d time.Duration) time.Time {
+	now := from
+	for ; now.Before(from.Add(d)); now = now.Add(BeatInterval) {
+		for address, host := range n.hosts {
+			if n.down[address] {
+				continue
+			}
+			for _, m := range host.Beats(now) {
+				n.deliver(now, host, m)
+			}
+		}
+	}
+	return now
+}
+
+func (n *network) deliver(now time.Time, from *Roster, m Message) {
+	said := from.Self()
+	if !m.Whole {
+		said = Beat{ID: said.ID, Incarnation: said.Incarnation, State: said.State, StoreLost: said.StoreLost}
+	}
+	for _, to := range m.To {
+		receiver := n.hosts[to]
+		if receiver == nil || n.down[to] {
+			continue
+		}
+		receiver.Heard(now, said, 0)
+		for _, other := range m.Introduced {
+			receiver.Heard(now, other.Beat, other.Age)
+		}
+	}
+}
+
+func names(beats []Beat) map[string]bool {
+	set := make(map[string]bool)
+	for _, b := range beats {
+		set[b.ID] = true
+	}
+	return set
+}
+
+// Guards against hosts that do not find each other, choose different entry
+// hosts, or put them into one failure domain.
+func TestHostsAgreeOnTheEntryHosts(t *testing.T) {
+	n := newNetwork(fleet(4), "p-west-a-0")
+	now := n.run(start, 8*time.Second)
+	var want map[string]bool
+	for _, host := range n.hosts {
+		near := 0
+		for _, b := range host.Live(now) {
+			if b.Region == host.Self().Region {
+				near++
+			}
+		}
+		if near != 8 {
+			t.Errorf("%s knows %d hosts of its region", host.Self().ID, near)
+		}
+		if host.Self().Region != "west" {
+			continue
+		}
+		entries := host.Entries(now, "west", 2)
+		if len(entries) != 2 || entries[0].Domain == entries[1].Domain {
+			t.Fatalf("entries %+v", entries)
+		}
+		if want == nil {
+			want = names(entries)
+		}
+		for _, e := range entries {
+			if !want[e.ID] {
+				t.Errorf("%s chooses %s", host.Self().ID, e.ID)
+			}
+		}
+	}
+}
+
+// Guards against look-ups that go on naming a host that was killed: 7 s after
+// its end no answer may do so.
+func TestKilledHostLeavesTheEntries(t *testing.T) {
+	n := newNetwork(fleet(3), "p-west-a-0", "p-east-a-0")
+	now := n.run(start, 8*time.Second)
+	observer := n.hosts["p-west-a-1"]
+	killed := observer.Entries(now, "west", 1)[0]
+	if killed.ID == observer.Self().ID {
+		observer = n.hosts["p-west-b-1"]
+	}
+	n.down[killed.PeerAddress] = true
+	now = n.run(now, 2*time.Second)
+	if names(observer.Entries(now, "west", 2))[killed.ID] {
+		t.Error("a host that fell silent 2 s ago is an entry host of its region")
+	}
+	now = n.run(now, 5*time.Second)
+	for _, host := range n.hosts {
+		if !n.down[host.Self().PeerAddress] && names(host.Entries(now, "west", 6))[killed.ID] {
+			t.Errorf("%s names a host that was killed 7 s ago", host.Self().ID)
+		}
+	}
+}
+
+// Guards against a host that is used while it starts or leaves.
+func TestOnlyReadyHostsAreEntries(t *testing.T) {
+	r := newRoster(beat("me", "west", "a"))
+	for id, state := range map[string]State{"starting": Starting, "leaving": Leaving} {
+		b := beat(id, "west", "b")
+		b.State = state
+		r.Heard(start, b, 0)
+	}
+	if got := r.Entries(start, "west", 5); len(got) != 1 || got[0].ID != "me" {
+		t.Errorf("entries %+v", got)
+	}
+	r.SetState(Leaving, false)
+	if got := r.Entries(start, "west", 5); len(got) != 0 {
+		t.Errorf("entries %+v of a fleet that leaves", got)
+	}
+}
+
+// Guards against old news that replace those of a later start, and against
+// beats without addresses that create a member.
+func TestOlderBeatsChangeNothing(t *testing.T) {
+	r := newRoster(beat("me", "west", "a"))
+	r.Heard(start, Beat{ID: "other", Incarnation: 2, State: Ready}, 0)
+	if len(r.Live(start)) != 1 {
+		t.Error("a beat without addresses made a member")
+	}
+	now := beat("other", "west", "b")
+	now.Incarnation = 2
+	r.Heard(start, now, 0)
+	r.Heard(start.Add(time.Second), beat("other", "west", "b"), 0)
+	r.Heard(start, Beat{ID: "other", Incarnation: 1, State: Leaving}, 0)
+	got, _ := r.Peer("other")
+	if got.Incarnation != 2 || got.State != Ready {
+		t.Errorf("%+v after older beats", got)
+	}
+}
+
+// Guards against a region that hears nothing of the store because its readers
+// cannot reach it, and against all hosts that read it.
+func TestReadersAreReplacedWhileTheStoreTurnsThemAway(t *testing.T) {
+	n := newNetwork(fleet(4), "p-west-a-0")
+	now := n.run(start, 8*time.Second)
+	count := func() (reading []string) {
+		for address, host := range n.hosts {
+			if host.Self().Region == "west" && host.IsReader(now) {
+				reading = append(reading, address)
+			}
+		}
+		return reading
+	}
+	first := count()
+	if len(first) != 2 {
+		t.Fatalf("%d readers", len(first))
+	}
+	for _, address := range first {
+		n.hosts[address].SetState(Ready, true)
+	}
+	now = n.run(now, 2*time.Second)
+	replaced := count()
+	if len(replaced) != 4 {
+		t.Errorf("%d hosts read while two are turned away, want these and two more", len(replaced))
+	}
+	for _, host := range n.hosts {
+		if host.Self().Region == "west" && !host.ReadersLost(now) {
+			t.Errorf("%s does not know that the first readers lost the store", host.Self().ID)
+		}
+	}
+}
+
+// Guards against heartbeats that grow with the fleet: only a few hosts speak to
+// other regions, and few beats carry introductions.
+func TestBeatsStaySmall(t *testing.T) {
+	n := newNetwork(fleet(4), "p-west-a-0")
+	now := n.run(start, 8*time.Second)
+	const intervals = 24
+	remote, introduced := 0, 0
+	for range intervals {
+		for _, host := range n.hosts {
+			for _, m := range host.Beats(now) {
+				if len(m.Introduced) > maxIntroduced {
+					t.Fatalf("%d hosts in one heartbeat", len(m.Introduced))
+				}
+				for _, to := range m.To {
+					if n.hosts[to].Self().Region != host.Self().Region {
+						remote++
+					}
+				}
+				if m.Whole {
+					introduced++
+				}
+				n.deliver(now, host, m)
+			}
+		}
+		now = now.Add(BeatInterval)
+	}
+	// Two delegates of each of two regions send one of three beats; each host
+	// of the east may send one of eight to the seed.
+	if limit := 4*intervals/remoteEvery + 8*intervals/introduceEvery; remote > limit {
+		t.Errorf("%d heartbeats between regions, want %d at most", remote, limit)
+	}
+	if limit := 16*intervals/introduceEvery + 4*intervals/remoteEvery; introduced > limit {
+		t.Errorf("%d whole heartbeats, want %d at most", introduced, limit)
+	}
+}
