Mark joining servers as cold before waiting requests get them

Change: a new list grants nothing, the host marks the cold servers and then looks at the waiting requests.

--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -50,12 +50,12 @@
 	}
 	h.slots.Store(int64(slots))
 	h.untrack(view)
-	verdicts := h.scheduler.SetServers(now, listed, h.regionCount())
+	h.scheduler.SetServers(listed, h.regionCount())
 	for _, id := range restarted {
 		h.scheduler.Forget(id)
 	}
 	h.applyCold(now, view)
-	h.deliver(verdicts)
+	h.deliver(h.scheduler.Tick(now))
 }
 
 func (h *Host) regionCount() int {
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -20,7 +20,7 @@
 
 func newScheduler(list []Server) *Scheduler {
 	s := New("west")
-	s.SetServers(start, list, 1)
+	s.SetServers(list, 1)
 	return s
 }
 
@@ -250,3 +250,25 @@
 	}
 	t.Error("the late job is still held after 3 s")
 }
+
+// Guards against waiting requests that rush to a server which has just joined,
+// before it is known to be cold (hunt Céu Ligado flood-beside-crashes --vary
+// --seed 967638262602: FAILBACK).
+func TestJoiningServerIsMarkedColdBeforeItIsUsed(t *testing.T) {
+	list := servers(2, 3)
+	s := newScheduler(list[:1])
+	for range 20 {
+		s.Submit(start, newJob(start, "a", 0, time.Minute))
+	}
+	s.SetServers(list, 1)
+	s.SetCold("s1", start.Add(3*time.Second), 2)
+	used := 0
+	for _, v := range s.Tick(start) {
+		if v.Server == "s1" {
+			used++
+		}
+	}
+	if used != 2 {
+		t.Errorf("a cold server that has joined got %d requests at once, want its share of 2", used)
+	}
+}
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -230,9 +230,10 @@
 	}
 }
 
-// SetServers replaces the list of servers. callerRegions is the number
-// of regions that callers come from.
-func (s *Scheduler) SetServers(now time.Time, specs []Server, callerRegions int) []Verdict {
+// SetServers replaces the list of servers. callerRegions is the number of
+// regions that callers come from. Waiting jobs get none of the servers before
+// the next Tick, so that cold ones can be marked first.
+func (s *Scheduler) SetServers(specs []Server, callerRegions int) {
 	members := make(map[string][]placement.Member)
 	listed := make(map[string]bool, len(specs))
 	for _, spec := range specs {
@@ -258,7 +259,6 @@
 	for name, of := range members {
 		s.service(name).view = placement.NewView(of, callerRegions)
 	}
-	return s.Tick(now)
 }
 
 // SetCold marks a server as cold until the given time. limit is the number of
