Write log lines through a bounded buffer that never blocks

Cause: a line was written to standard output by the request that it is about; an output that nobody reads would have stopped requests.

Change: 1,024 lines wait before one writer; more are dropped, counted and reported. The test with a blocked output hangs without it.

--- /dev/null
+++ b/internal/events/buffered.go
@@ -0,0 +1,67 @@
+package events
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+// Buffered is a writer that never blocks: lines wait in a buffer of fixed size
+// before one goroutine that writes them, and are dropped and counted while it
+// is full. It is safe for concurrent use.
+type Buffered struct {
+	lines   chan []byte
+	closing chan struct{}
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+// NewBuffered returns a writer to w with room for that many lines.
+func NewBuffered(w io.Writer, lines int) *Buffered {
+	b := &Buffered{lines: make(chan []byte, lines), closing: make(chan struct{}), done: make(chan struct{})}
+	go b.run(w)
+	return b
+}
+
+// run writes lines until the writer is closed, and then those that are left.
+func (b *Buffered) run(w io.Writer) {
+	defer close(b.done)
+	for {
+		select {
+		case line := <-b.lines:
+			// There is nowhere to report that the log cannot be written.
+			_, _ = w.Write(line)
+			continue
+		default:
+		}
+		select {
+		case line := <-b.lines:
+			_, _ = w.Write(line)
+		case <-b.closing:
+			return
+		}
+	}
+}
+
+// Write implements io.Writer; p is one line.
+func (b *Buffered) Write(p []byte) (int, error) {
+	line := append([]byte(nil), p...)
+	select {
+	case b.lines <- line:
+	default:
+		b.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped returns the number of lines dropped since the last call.
+func (b *Buffered) Dropped() int { return int(b.dropped.Swap(0)) }
+
+// Close writes what is in the buffer, as long as stop is open. Later lines are
+// dropped once the buffer is full. It is called once.
+func (b *Buffered) Close(stop <-chan struct{}) {
+	close(b.closing)
+	select {
+	case <-b.done:
+	case <-stop:
+	}
+}
--- a/internal/host/program.go
+++ b/internal/host/program.go
@@ -32,6 +32,38 @@
 	gcPercent = 50
 )
 
+const (
+	// logBuffer is the number of log lines that wait for standard output: about
+	// 250 KB.
+	logBuffer = 1024
+	// logCloseTimeout bounds the wait for standard output at the end.
+	logCloseTimeout = 200 * time.Millisecond
+	// droppedInterval is how often dropped log lines are reported.
+	droppedInterval = 5 * time.Second
+)
+
+func closeLog(output *events.Buffered) {
+	ctx, cancel := context.WithTimeout(context.Background(), logCloseTimeout)
+	defer cancel()
+	output.Close(ctx.Done())
+}
+
+// reportDropped logs how many lines the output did not take in time.
+func reportDropped(ctx context.Context, log *events.Log, output *events.Buffered) {
+	tick := time.NewTicker(droppedInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if n := output.Dropped(); n > 0 {
+				log.Emit(events.LinesDropped, events.Count(n))
+			}
+		}
+	}
+}
+
 // Program is the command line of a host on one platform.
 type Program struct {
 	Name     string
@@ -94,10 +126,13 @@
 	*code = daemon.ExitFailed
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryLimitShare))
-	log := events.New(os.Stdout, level, time.Now)
+	output := events.NewBuffered(os.Stdout, logBuffer)
+	defer closeLog(output)
+	log := events.New(output, level, time.Now)
 	defer log.Flush()
 	log.Emit(events.DaemonStarted, events.Host(model.HostID(s.ID)), events.Region(model.Region(s.Region)), events.FailureDomain(model.FailureDomain(s.Domain)))
 	h := New(Base{Settings: s, Protocol: p.Protocol, Store: p.Store(s.StoreAddress), Decoder: p.Decoder(s.RegionOf), Log: log, Metrics: metrics.New()})
+	go reportDropped(ctx, log, output)
 	go h.followSettings(ctx, path, load, hangUp)
 	if err := h.Run(ctx); err != nil {
 		log.Emit(events.DaemonFailed, events.Host(model.HostID(s.ID)), events.Reason(err))
