Report the use of servers only while there are requests

Change: a change arms one report, repeated while requests run; pulls and lapsed entries are looked at less often.

--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -54,6 +54,9 @@
 // deliver hands verdicts to their requests. It is called with the lock held.
 func (h *Host) deliver(verdicts []scheduler.Verdict) {
 	for _, v := range verdicts {
+		if v.Server != "" {
+			h.shareSoon()
+		}
 		if waiter := h.waiters[v.Job]; waiter != nil {
 			delete(h.waiters, v.Job)
 			waiter <- v
@@ -82,6 +85,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.deliver(h.scheduler.Done(time.Now(), job, outcome, load))
+	h.shareSoon()
 }
 
 // exchange sends a request to a server and reads its answer.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -67,6 +67,8 @@
 	scheduler *scheduler.Scheduler
 	waiters   map[*scheduler.Job]chan scheduler.Verdict
 	ticking   bool
+	sharing   bool
+	sharedAll time.Time
 	backends  map[string]*backend
 	retries   map[string]*retryBudget
 	splits    map[string]*splitter
@@ -171,7 +173,6 @@
 	group.Go(func() error { return h.servePeers(work) })
 	group.Go(func() error { h.reader.Run(work); return nil })
 	group.Go(func() error { h.maintain(work); return nil })
-	group.Go(func() error { return h.shareUse(work) })
 	group.Go(func() error { h.register(work); return nil })
 	if h.Settings.Listen.Metrics != "" {
 		group.Go(func() error { return h.serveMetrics(work) })
--- a/internal/host/share.go
+++ b/internal/host/share.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"context"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
@@ -12,30 +11,39 @@
 	// shareInterval is the time between two reports to the hosts that use the
 	// same servers: a small part of what a request takes.
 	shareInterval = 40 * time.Millisecond
-	// shareAllEvery is the number of reports of which one repeats everything,
-	// in time for reports that were lost.
-	shareAllEvery = 5
+	// shareAllInterval is the time after which everything that runs is reported
+	// again, in time for reports that were lost.
+	shareAllInterval = 200 * time.Millisecond
 )
 
-// shareUse tells the other entry hosts of the region what this host has at the
-// servers, until ctx ends.
-func (h *Host) shareUse(ctx context.Context) error {
-	tick := time.NewTicker(shareInterval)
-	defer tick.Stop()
-	for n := 0; ; n++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			h.reportUse(now, n%shareAllEvery == 0)
-		}
+// shareSoon has the other entry hosts of the region told of a change in what
+// this host has at the servers. It is called with the lock held; a host
+// without requests does not wake up.
+func (h *Host) shareSoon() {
+	if h.sharing {
+		return
 	}
+	h.sharing = true
+	time.AfterFunc(shareInterval, h.shareUse)
 }
 
-func (h *Host) reportUse(now time.Time, all bool) {
+func (h *Host) shareUse() {
+	now := time.Now()
 	h.mu.Lock()
+	all := now.Sub(h.sharedAll) >= shareAllInterval
+	if all {
+		h.sharedAll = now
+	}
 	uses := h.scheduler.Report(all)
+	h.sharing = false
+	if h.scheduler.Running() > 0 {
+		h.shareSoon()
+	}
 	h.mu.Unlock()
+	h.sendUse(now, uses)
+}
+
+func (h *Host) sendUse(now time.Time, uses []scheduler.Use) {
 	socket := h.beatSocket.Load()
 	if len(uses) == 0 || socket == nil {
 		return
--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -21,7 +21,7 @@
 	// regions are priced.
 	pullAfter       = 250 * time.Millisecond
 	pullRemoteAfter = 900 * time.Millisecond
-	pullInterval    = 100 * time.Millisecond
+	pullInterval    = 250 * time.Millisecond
 	// pullTimeout bounds one question to a peer.
 	pullTimeout = 1500 * time.Millisecond
 	// maxPushBytes keeps a push in one datagram; larger changes are pulled.
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -29,7 +29,7 @@
 	// store; it bounds how late a new reader starts.
 	roleInterval = 200 * time.Millisecond
 	// expireInterval is the step in which lapsed entries are removed.
-	expireInterval = 200 * time.Millisecond
+	expireInterval = 400 * time.Millisecond
 )
 
 // Role tells a reader whether this host reads the store itself, or takes what
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -164,6 +164,15 @@
 	return sum
 }
 
+// Running returns the number of jobs that servers have from this host.
+func (s *Scheduler) Running() int {
+	sum := 0
+	for _, server := range s.servers {
+		sum += len(server.running)
+	}
+	return sum
+}
+
 func (s *Scheduler) service(name string) *service {
 	svc := s.services[name]
 	if svc == nil {
