--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -12,7 +12,6 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/callers"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
-	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
 const (
@@ -47,7 +46,7 @@
 	}
 	addresses := h.entryAddresses(lookup)
 	if len(addresses) == 0 {
-		return refusal(result.NotReady, notReadyRetryAfter)
+		return refusal(notReadyRetryAfter)
 	}
 	answer, err := h.Protocol.EncodeLookup(addresses, min(lookupTTL, h.bounds().MaxLookupTTL))
 	if err != nil {
@@ -112,8 +111,27 @@
 	return plain(http.StatusOK)
 }
 
+// publishGauges adds what is read when the metrics are asked for.
+func (h *Host) publishGauges() {
+	h.Metrics.Gauge("config_version", func() any { return h.configVersion() })
+	h.Metrics.Gauge("servers", func() any { return len(h.reader.View().Servers) })
+	h.Metrics.Gauge("caller_connections", func() any { return h.entry.Connections() })
+	h.Metrics.Gauge("caller_requests_refused", func() any { return h.entry.Refused() })
+	h.Metrics.Gauge("store_lost", func() any { return h.reader.StoreLost() })
+	h.Metrics.Gauge("store_calls", func() any {
+		made, failed := h.reader.Calls()
+		return map[string]int64{"made": made, "failed": failed}
+	})
+	h.Metrics.Gauge("load", func() any {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return map[string]int{"waiting": h.scheduler.Waiting(), "running": h.scheduler.Running()}
+	})
+}
+
 // serveMetrics serves the metrics until ctx ends.
 func (h *Host) serveMetrics(ctx context.Context) error {
+	h.publishGauges()
 	const headerTimeout = 5 * time.Second
 	server := &http.Server{Handler: h.Metrics.Handler(), ReadHeaderTimeout: headerTimeout}
 	listener, err := net.Listen("tcp", h.Settings.Listen.Metrics)
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -65,7 +65,7 @@
 func (h *Host) serveCall(ctx context.Context, req *callers.Request) callers.Answer {
 	view := h.reader.View()
 	if view.Config == nil {
-		return refusal(result.NotReady, notReadyRetryAfter)
+		return refusal(notReadyRetryAfter)
 	}
 	call, err := h.Protocol.DecodeCall(req.Request)
 	if err != nil || call.ID == "" {
@@ -129,7 +129,7 @@
 			return *answer, result.Served
 		}
 		if !r.mayResend(ctx, failure) {
-			return r.failed(ctx, failure)
+			return r.failed(failure)
 		}
 		r.host.Log.Emit(events.RequestResent, events.Request(r.call.ID), events.Server(model.ServerID(verdict.Server)), events.Reason(failure.err))
 	}
@@ -309,24 +309,24 @@
 // refused is the final answer to a request that gets no (further) server.
 func (r *run) refused(ctx context.Context, v scheduler.Verdict) (callers.Answer, result.Code) {
 	if ctx.Err() != nil && v.Refused == scheduler.NotRefused {
-		return r.failed(ctx, &attemptFailure{err: ctx.Err(), notRun: !r.mayHaveRun, code: result.DeadlineBefore})
+		return r.failed(&attemptFailure{err: ctx.Err(), notRun: !r.mayHaveRun, code: result.DeadlineBefore})
 	}
 	codes := map[scheduler.Reason]result.Code{
 		scheduler.NoServer:          result.NoServer,
 		scheduler.QueueFull:         result.QueueFull,
 		scheduler.WouldMissDeadline: result.WouldMissDeadline,
 	}
-	return r.failed(ctx, &attemptFailure{err: errors.New(v.Refused.String()), notRun: true, code: codes[v.Refused], retryAfter: v.RetryAfter})
+	return r.failed(&attemptFailure{err: errors.New(v.Refused.String()), notRun: true, code: codes[v.Refused], retryAfter: v.RetryAfter})
 }
 
 // failed is the final answer to a request that no server answered with success.
-func (r *run) failed(_ context.Context, f *attemptFailure) (callers.Answer, result.Code) {
+func (r *run) failed(f *attemptFailure) (callers.Answer, result.Code) {
 	r.failure = f.err.Error()
 	switch {
 	case f.answer != nil:
 		return *f.answer, f.code
 	case !r.mayHaveRun && f.notRun:
-		return refusal(f.code, max(f.retryAfter, scheduler.MinRetryAfter)), f.code
+		return refusal(max(f.retryAfter, scheduler.MinRetryAfter)), f.code
 	case f.code == result.DeadlineAfter:
 		return plain(http.StatusGatewayTimeout), f.code
 	default:
@@ -351,7 +351,7 @@
 }
 
 // refusal promises that the request has not run and never will.
-func refusal(_ result.Code, retryAfter time.Duration) callers.Answer {
+func refusal(retryAfter time.Duration) callers.Answer {
 	a := plain(http.StatusServiceUnavailable)
 	a.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	return a
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -81,6 +81,4 @@
 	Evacuated map[string]bool
 	// ReleasedAt is when a failure domain was last taken back.
 	ReleasedAt map[string]time.Time
-	// ReadAt is when the store last confirmed the view.
-	ReadAt time.Time
 }
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -283,7 +283,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state.asOf[c] > 0 {
-		r.state.confirm(r.now(), c, asOf)
+		r.state.confirm(c, asOf)
 	}
 }
 
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -80,7 +80,7 @@
 			s.remove(now, c, name)
 		}
 	}
-	s.confirm(now, c, batch.Revision)
+	s.confirm(c, batch.Revision)
 }
 
 // Changes applies the changes of a collection.
@@ -93,12 +93,11 @@
 		}
 		s.put(now, c, o)
 	}
-	s.confirm(now, c, batch.Revision)
+	s.confirm(c, batch.Revision)
 }
 
-func (s *State) confirm(now time.Time, c Collection, revision uint64) {
+func (s *State) confirm(c Collection, revision uint64) {
 	s.asOf[c] = max(s.asOf[c], revision)
-	s.view.ReadAt = now
 }
 
 // Mark identifies the content of a collection.
