Move an overdue request only when another server can start it

Change: an overdue attempt goes on until a server with room is expected to answer in time and the retry budget allows it; a stopping host moves nothing.

--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/callers"
@@ -35,6 +36,8 @@
 	// silenceFactor times the expected time to the answer is waited before an
 	// idempotent request is sent to another server.
 	silenceFactor = 3
+	// overdueInterval is the step in which an overdue request is looked at again.
+	overdueInterval = 100 * time.Millisecond
 	// minSilence keeps short requests from being repeated on small delays.
 	minSilence = 700 * time.Millisecond
 )
@@ -59,6 +62,9 @@
 	mayHaveRun bool
 	server     string
 	failure    string
+	// moved is set when an overdue attempt was ended for another server; the
+	// retry budget is paid for.
+	moved atomic.Bool
 }
 
 // serveCall answers a request of a caller.
@@ -176,6 +182,9 @@
 	if r.sends >= r.route.MaxAttempts {
 		return false
 	}
+	if r.moved.Swap(false) {
+		return true
+	}
 	return r.host.retryBudgetOf(r.service).Retry(now)
 }
 
@@ -203,16 +212,55 @@
 }
 
 // attemptContext ends an attempt of an idempotent request when its answer is
-// long overdue and another server may still answer in time.
+// long overdue and another server can take the request at once. Until then the
+// first server's answer is waited for: its silence alone is no reason to end
+// the request.
 func (r *run) attemptContext(ctx context.Context, verdict scheduler.Verdict) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
 	if r.route.Kind != fleet.Idempotent || r.sends+1 >= r.route.MaxAttempts {
-		return ctx, func() {}
+		return ctx, cancel
+	}
+	overdue := max(silenceFactor*verdict.Expected, minSilence)
+	again := r.job()
+	go func() {
+		for wait := overdue; sleepUnlessDone(ctx, wait); wait = overdueInterval {
+			if r.canMove(again) {
+				cancel()
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+// sleepUnlessDone reports whether the time passed before the context ended.
+func sleepUnlessDone(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	limit := max(silenceFactor*verdict.Expected, minSilence)
-	if time.Until(r.giveUpAt) < limit+verdict.Expected {
-		return ctx, func() {}
+}
+
+// canMove reports whether another server can start on an overdue request now,
+// and takes the move out of the retry budget. A stopping host moves nothing.
+func (r *run) canMove(again *scheduler.Job) bool {
+	h := r.host
+	if h.stops.Load() {
+		return false
+	}
+	now := time.Now()
+	h.mu.Lock()
+	possible := h.scheduler.CanStart(now, again)
+	h.mu.Unlock()
+	if !possible || !h.retryBudgetOf(r.service).Retry(now) {
+		return false
 	}
-	return context.WithTimeout(ctx, limit)
+	r.moved.Store(true)
+	return true
 }
 
 func (r *run) upstreamRequest(server string) upstream.Request {
@@ -232,7 +280,7 @@
 // judgeFailure decides what an attempt without an answer proves.
 func (r *run) judgeFailure(ctx context.Context, job *scheduler.Job, f *upstream.Failure) *attemptFailure {
 	outcome := scheduler.Failed
-	if !f.Unreachable && errors.Is(f.Err, context.Canceled) {
+	if !f.Unreachable && errors.Is(f.Err, context.Canceled) && !r.moved.Load() {
 		outcome = scheduler.Abandoned
 	}
 	if f.Unreachable {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -139,6 +139,13 @@
 	return s.pump(now, svc)
 }
 
+// CanStart reports whether a server has room for the job now and is expected to
+// answer in time.
+func (s *Scheduler) CanStart(now time.Time, job *Job) bool {
+	best, ok := s.best(now, s.service(job.Service), job, nil)
+	return ok && best.server.hasRoom(now) && !now.Add(best.total()).After(job.GiveUpAt)
+}
+
 // Cancel removes a waiting job whose caller has left.
 func (s *Scheduler) Cancel(now time.Time, job *Job) []Verdict {
 	svc := s.service(job.Service)
