Serve no request whose body is not whole

Cause: readBody returned neither a body nor an answer when the caller left in the middle of its body, and readRequest took that for an empty body. The request went to a backend server without its content.

Ruled out: chunked reading that takes a cut for the end (net/http reports it), a reused buffer (none is), and a write to the server that ended early (the run of the server began 11 ms after the caller's reset).

Change: readBody says whether the body is whole.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -217,8 +217,8 @@
 	}
 	c.limit.remaining = limits.MaxBodyBytes + int64(limits.MaxHeaderBytes)
 	c.setReadDeadline(limits.BodyTimeout)
-	body, answer := c.readBody(parsed, limits)
-	if answer != nil {
+	body, whole, answer := c.readBody(parsed, limits)
+	if !whole {
 		return nil, answer
 	}
 	req.Body = body
@@ -243,50 +243,53 @@
 	return errors.As(err, &op)
 }
 
-// readBody reads the whole body within the memory budget.
-func (c *conn) readBody(parsed *http.Request, limits Limits) ([]byte, *Answer) {
+// readBody reads the whole body within the memory budget. Of a body that is
+// not whole nothing is returned but the answer to give, or none if the caller
+// has left.
+func (c *conn) readBody(parsed *http.Request, limits Limits) (body []byte, whole bool, answer *Answer) {
 	size := parsed.ContentLength
 	if size < 0 {
 		return c.readChunked(parsed.Body, limits)
 	}
 	if !c.server.memory.take(size) {
-		return nil, retryLater()
+		return nil, false, retryLater()
 	}
-	body := make([]byte, size)
+	body = make([]byte, size)
 	if _, err := io.ReadFull(parsed.Body, body); err != nil {
 		c.server.memory.give(size)
-		return nil, bodyFailure(err)
+		return nil, false, bodyFailure(err)
 	}
-	return body, nil
+	return body, true, nil
 }
 
-func (c *conn) readChunked(r io.Reader, limits Limits) ([]byte, *Answer) {
-	var body []byte
+func (c *conn) readChunked(r io.Reader, limits Limits) (body []byte, whole bool, answer *Answer) {
 	for {
 		if int64(len(body)) > limits.MaxBodyBytes {
 			c.server.memory.give(int64(cap(body)))
-			return nil, failure(http.StatusRequestEntityTooLarge)
+			return nil, false, failure(http.StatusRequestEntityTooLarge)
 		}
 		if len(body) == cap(body) {
 			grown := cap(body)*2 + bodyChunk
 			if !c.server.memory.take(int64(grown - cap(body))) {
 				c.server.memory.give(int64(cap(body)))
-				return nil, retryLater()
+				return nil, false, retryLater()
 			}
 			body = append(make([]byte, 0, grown), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
-			return body, nil
+			return body, true, nil
 		}
 		if err != nil {
 			c.server.memory.give(int64(cap(body)))
-			return nil, bodyFailure(err)
+			return nil, false, bodyFailure(err)
 		}
 	}
 }
 
+// bodyFailure is the answer to a body that is not whole; nil if the caller has
+// left.
 func bodyFailure(err error) *Answer {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- /dev/null
+++ b/internal/callers/server_test.go
@@ -0,0 +1,114 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// testServer answers every request with its body.
+func testServer(t *testing.T, handler Handler) net.Addr {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Second, BodyTimeout: time.Second, IdleTimeout: time.Second}
+	server := NewServer(handler, func() Limits { return limits }, 1<<20)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		if err := <-ended; err != nil {
+			t.Errorf("server ended: %v", err)
+		}
+	})
+	return listener.Addr()
+}
+
+func dialServer(t *testing.T, address net.Addr) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn.(*net.TCPConn)
+}
+
+// Guards against a request whose caller left in the middle of its body, and
+// which is passed on without the rest (hunt Céu Ligado silent-beside-roll
+// --seed 330328408509: UNASKED).
+func TestBodyThatIsNotWholeIsNotServed(t *testing.T) {
+	const sized = "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n"
+	const chunked = "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	requests := map[string]string{
+		"sized, no byte":       sized,
+		"sized, half":          sized + "12345",
+		"chunked, no byte":     chunked,
+		"chunked, in a chunk":  chunked + "a\r\n12345",
+		"chunked, after one":   chunked + "5\r\n12345\r\n",
+		"chunked, no trailer":  chunked + "5\r\n12345\r\n0\r\n",
+		"chunked, wrong frame": chunked + "zz\r\n12345\r\n0\r\n\r\n",
+	}
+	ends := map[string]func(*net.TCPConn){
+		"closes":      func(c *net.TCPConn) { _ = c.Close() },
+		"half-closes": func(c *net.TCPConn) { _ = c.CloseWrite() },
+		"resets":      func(c *net.TCPConn) { _ = c.SetLinger(0); _ = c.Close() },
+	}
+	for what, text := range requests {
+		for how, end := range ends {
+			t.Run(what+" "+how, func(t *testing.T) {
+				t.Parallel()
+				var served atomic.Int32
+				address := testServer(t, func(context.Context, *Request) Answer {
+					served.Add(1)
+					return Answer{Status: http.StatusOK, Header: http.Header{}}
+				})
+				conn := dialServer(t, address)
+				if _, err := io.WriteString(conn, text); err != nil {
+					t.Fatal(err)
+				}
+				const seen = 50 * time.Millisecond // the server reads what has been sent
+				time.Sleep(seen)
+				end(conn)
+				time.Sleep(seen)
+				if served.Load() > 0 {
+					t.Error("the request was served")
+				}
+			})
+		}
+	}
+}
+
+// Guards against whole bodies that are refused or changed.
+func TestWholeBodiesAreServed(t *testing.T) {
+	for what, text := range map[string]string{
+		"sized":   "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n12345",
+		"chunked": "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n123\r\n2\r\n45\r\n0\r\n\r\n",
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			address := testServer(t, func(_ context.Context, r *Request) Answer {
+				return Answer{Status: http.StatusOK, Header: http.Header{}, Body: r.Body}
+			})
+			conn := dialServer(t, address)
+			if _, err := io.WriteString(conn, text); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "12345" {
+				t.Errorf("body %q, %v", body, err)
+			}
+		})
+	}
+}
