Refuse requests that crash backend servers

Cause: wisteria-host knew nothing of a request whose content crashes every server that runs it; the caller's attempts each cost up to max-attempts servers, at every host.

Ruled out: the trials of the entry daemon (a suspect runs alone on a server). Hosts that send straight cannot keep others off a server, so the second crash in a row convicts. A lost connection alone proves nothing: answers are lost by living servers, too. The server is asked for a new connection first.

Change: lost connections and crashed servers are paired in pkg/quarantine; the host refuses convicted contents with 503 and tells peers in heartbeats. The lifetimes of standings are a parameter of the table.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -29,7 +29,7 @@
 
 func newCrashGuard() *crashGuard {
 	return &crashGuard{
-		table:  quarantine.NewTable(quarantine.DefaultMaxEntries),
+		table:  quarantine.NewTable(quarantine.DefaultMaxEntries, quarantine.DefaultLifetimes),
 		trials: make(map[quarantine.Hash]bool),
 	}
 }
--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -128,7 +128,7 @@
 	{ServerUnreachable, logrus.WarnLevel, "server-unreachable", fields(FieldServer, FieldAddress, FieldReason), "No connection to the backend server could be opened."},
 	{ServerShedding, logrus.WarnLevel, "server-shedding", fields(FieldServer, FieldCount), "The backend server refuses work and is used less."},
 	{ConnectionSilent, logrus.WarnLevel, "connection-silent", fields(FieldServer, FieldElapsed), "An open connection stopped answering and was abandoned."},
-	{RequestSuspected, logrus.WarnLevel, "request-suspected", fields(FieldService, FieldServer, FieldCount), "Requests that ran on a crashed backend server run alone from now on."},
+	{RequestSuspected, logrus.WarnLevel, "request-suspected", fields(FieldService, FieldServer, FieldCount), "A request ran on a backend server that crashed; the entry daemon runs it alone from now on."},
 	{RequestConvicted, logrus.ErrorLevel, "request-convicted", fields(FieldService, FieldServer), "A request crashed a second backend server and is refused."},
 	{RequestCleared, logrus.InfoLevel, "request-cleared", fields(FieldService), "A suspected request completed."},
 	{RequestRefused, logrus.DebugLevel, "request-refused", fields(FieldService, FieldRank, FieldCode), "A request was refused and did not run."},
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -137,6 +137,7 @@
 		return
 	}
 	h.Log.Emit(events.ServerUnreachable, events.Server(model.ServerID(server)), events.Address(b.address), events.Reason(cause))
+	h.suspected(server, h.crashes.crashed(server, time.Now())...)
 	go h.probeUntilUp(server, b)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -71,6 +71,7 @@
 	sharedAll time.Time
 	backends  map[string]*backend
 	retries   map[string]*retryBudget
+	crashes   *crashGuard
 	splits    map[string]*splitter
 
 	// rosterMu is taken after mu and after the reader's own lock, never before.
@@ -92,6 +93,8 @@
 	born    int64
 	pool    *upstream.Pool
 	probing bool
+	// verifiedAt is when a lost connection last led to a check of the server.
+	verifiedAt time.Time
 	// coldRevision is the revision of the entry that was first seen at
 	// coldSeen; how long a server stays cold counts from there.
 	coldRevision uint64
@@ -108,6 +111,7 @@
 		waiters:   make(map[*scheduler.Job]chan scheduler.Verdict),
 		backends:  make(map[string]*backend),
 		retries:   make(map[string]*retryBudget),
+		crashes:   newCrashGuard(),
 		splits:    make(map[string]*splitter),
 		ahead:     make(map[inventory.Collection]peerAhead),
 	}
@@ -157,6 +161,7 @@
 
 // Run serves until ctx ends, and then until the callers have left.
 func (h *Host) Run(ctx context.Context) error {
+	h.publishGauges()
 	// The state is followed until the last request is answered.
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -122,6 +122,10 @@
 		made, failed := h.reader.Calls()
 		return map[string]int64{"made": made, "failed": failed}
 	})
+	h.Metrics.Gauge("crashing_requests", func() any {
+		suspected, convicted := h.crashes.counts(time.Now())
+		return map[string]int{"suspected": suspected, "convicted": convicted}
+	})
 	h.Metrics.Gauge("load", func() any {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -131,7 +135,6 @@
 
 // serveMetrics serves the metrics until ctx ends.
 func (h *Host) serveMetrics(ctx context.Context) error {
-	h.publishGauges()
 	const headerTimeout = 5 * time.Second
 	server := &http.Server{Handler: h.Metrics.Handler(), ReadHeaderTimeout: headerTimeout}
 	listener, err := net.Listen("tcp", h.Settings.Listen.Metrics)
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -89,7 +89,7 @@
 	messages := h.roster.Beats(now)
 	h.rosterMu.Unlock()
 	for _, m := range messages {
-		beat := &wirepb.Heartbeat{Self: beatToWire(self, 0), Collections: h.collectionStates()}
+		beat := &wirepb.Heartbeat{Self: beatToWire(self, 0), Collections: h.collectionStates(), Suspects: h.crashes.notices(now)}
 		for _, other := range m.Introduced {
 			beat.Others = append(beat.Others, beatToWire(other.Beat, other.Age))
 		}
@@ -157,6 +157,9 @@
 		h.roster.Heard(now, beatFromWire(other), time.Duration(other.GetAgeMillis())*time.Millisecond)
 	}
 	h.rosterMu.Unlock()
+	for _, notice := range message.GetSuspects() {
+		h.crashes.heard(notice, now)
+	}
 	h.watchReaders(now)
 	h.heardOfStore(now, message)
 }
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -126,6 +126,9 @@
 	ctx, cancel := context.WithDeadline(ctx, r.giveUpAt)
 	defer cancel()
 	for {
+		if r.isConvicted() {
+			return r.failed(&attemptFailure{err: errConvicted, notRun: !r.mayHaveRun, code: result.Quarantined, retryAfter: convictedRetryAfter})
+		}
 		verdict, job := r.host.dispatch(ctx, r.job())
 		if verdict.Server == "" {
 			return r.refused(ctx, verdict)
@@ -299,6 +302,9 @@
 	}
 	r.sends++
 	r.mayHaveRun = true
+	if failure.code != result.DeadlineAfter {
+		r.connectionLost()
+	}
 	return failure
 }
 
@@ -313,6 +319,7 @@
 	}
 	r.sends++
 	r.mayHaveRun = true
+	r.survived()
 	passed := &callers.Answer{Status: answer.Status, Header: forwardedHeader(answer.Header), Body: answer.Body}
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	switch {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -126,6 +126,19 @@
 	return answer, nil
 }
 
+// Open opens a connection for later use.
+func (p *Pool) Open(ctx context.Context, dialed func(time.Duration)) error {
+	start := time.Now()
+	c, err := dial(ctx, p.address)
+	if err != nil {
+		return err
+	}
+	dialed(time.Since(start))
+	c.useUntil = time.Now().Add(defaultIdle)
+	p.give(c)
+	return nil
+}
+
 // take returns the connection that was used last, if it is still open.
 func (p *Pool) take(now time.Time) *conn {
 	for {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -11,8 +11,20 @@
 	"github.com/wisteriacrank/wisteriacrank/pkg/atmostonce"
 )
 
-// Lifetime is how long a standing is remembered.
-const Lifetime = 10 * time.Minute
+// Lifetimes are how long standings are remembered.
+type Lifetimes struct {
+	Suspect, Convicted time.Duration
+}
+
+// DefaultLifetimes remember a request for longer than callers resend it.
+var DefaultLifetimes = Lifetimes{Suspect: 10 * time.Minute, Convicted: 10 * time.Minute}
+
+func (l Lifetimes) of(standing Standing) time.Duration {
+	if standing == Convicted {
+		return l.Convicted
+	}
+	return l.Suspect
+}
 
 // DefaultMaxEntries bounds a table to about 2 MB.
 const DefaultMaxEntries = 10_000
@@ -38,8 +50,9 @@
 
 // Table holds the standing of contents.
 type Table struct {
-	max     int
-	entries map[Hash]*entry
+	max      int
+	remember Lifetimes
+	entries  map[Hash]*entry
 	// byStanding holds the entries of each standing in order of expiry.
 	byStanding map[Standing]*list.List
 }
@@ -52,9 +65,10 @@
 }
 
 // NewTable returns an empty table of at most maxEntries.
-func NewTable(maxEntries int) *Table {
+func NewTable(maxEntries int, remember Lifetimes) *Table {
 	return &Table{
 		max:        maxEntries,
+		remember:   remember,
 		entries:    make(map[Hash]*entry),
 		byStanding: map[Standing]*list.List{Suspect: list.New(), Convicted: list.New()},
 	}
@@ -120,7 +134,7 @@
 	if len(t.entries) >= t.max {
 		t.evict()
 	}
-	added := &entry{hash: h, standing: standing, expires: now.Add(Lifetime)}
+	added := &entry{hash: h, standing: standing, expires: now.Add(t.remember.of(standing))}
 	added.element = t.byStanding[standing].PushBack(added)
 	t.entries[h] = added
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -11,7 +11,7 @@
 // lowers a standing.
 func TestStandingFollowsCrashes(t *testing.T) {
 	h := HashOf("booking-desk", "run", []byte("body"))
-	table := NewTable(10)
+	table := NewTable(10, DefaultLifetimes)
 	want := func(what string, standing Standing) {
 		t.Helper()
 		if got := table.Standing(h, start); got != standing {
@@ -35,7 +35,7 @@
 	table.Clear(h)
 	table.Raise(h, Suspect, start)
 	want("notices after the conviction", Convicted)
-	if got := table.Standing(h, start.Add(Lifetime)); got != Clear || table.Len() != 0 {
+	if got := table.Standing(h, start.Add(DefaultLifetimes.Convicted)); got != Clear || table.Len() != 0 {
 		t.Errorf("after the lifetime: standing %d, %d entries", got, table.Len())
 	}
 }
@@ -43,7 +43,7 @@
 // Guards against growth without bound, and against suspects that push out
 // convictions.
 func TestFullTableKeepsConvictions(t *testing.T) {
-	table := NewTable(3)
+	table := NewTable(3, DefaultLifetimes)
 	convicted := HashOf("s", "p", []byte("convicted"))
 	table.Raise(convicted, Convicted, start)
 	for i := range 100 {
