Choose large hosts as entry hosts

Cause: the number of entry hosts followed the server slots, 24 for one, and rendezvous hashing chose them whatever their size. In an installation of 107 hosts of 0.112 and 0.8 cores, eight of the small ones carried a region and fell behind: requests were sent on 1.7 s after their callers had left (GONE), while larger hosts stood by.

Ruled out: a count for each kind of host in the settings. Callers choose among the addresses at random, so what counts is the capacity of the smallest one.

Change: a host says how many slots it can carry, from its cores and bandwidth; the largest come first, and so many are named that the smallest carries its part. Hosts of one size are chosen as before.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -123,6 +123,7 @@
 		Domain:        s.Domain,
 		PeerAddress:   s.Listen.Peers,
 		CallerAddress: s.Listen.Callers,
+		Capacity:      capacityOf(s),
 	}
 	h.roster = roster.New(self, s.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	h.reader = inventory.NewReader(base.Store, base.Decoder, base.Log, time.Now, h.readsStore,
--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -14,17 +14,8 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 )
 
-const (
-	// minEntries hosts of a region carry its requests, so that the loss of one
-	// leaves callers another address.
-	minEntries = 2
-	// slotsPerEntry is the number of server slots, of the fleet divided by its
-	// regions, for which one entry host carries the requests. The fewer hosts
-	// share the servers, the more each of them knows of their load.
-	slotsPerEntry = 24
-	// maxAddresses bounds a look-up answer.
-	maxAddresses = 64
-)
+// maxAddresses bounds a look-up answer.
+const maxAddresses = 64
 
 // peerAddresses reads the entries of hosts; those that cannot be read are left out.
 func peerAddresses(listed inventory.Batch) []string {
@@ -77,7 +68,7 @@
 
 func (h *Host) addressesOf(now time.Time, region string) []string {
 	var addresses []string
-	for _, beat := range h.roster.Entries(now, region, h.entryCount()) {
+	for _, beat := range h.roster.EntriesFor(now, region, h.slotsPerRegion()) {
 		addresses = append(addresses, beat.CallerAddress)
 	}
 	return addresses
@@ -94,10 +85,11 @@
 	return regions
 }
 
-// entryCount is the number of entry hosts of a region.
-func (h *Host) entryCount() int {
-	perRegion := int(h.slots.Load()) / max(h.regionCount(), 1)
-	return max(minEntries, (perRegion+slotsPerEntry-1)/slotsPerEntry)
+// slotsPerRegion is the number of server slots for which the entry hosts of a
+// region carry requests. Callers are spread over the regions, whatever servers
+// these have.
+func (h *Host) slotsPerRegion() int {
+	return int(h.slots.Load()) / max(h.regionCount(), 1)
 }
 
 // serveReady tells the platform whether this host takes requests.
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -103,6 +103,7 @@
 // slim leaves out what does not change.
 func slim(b *wirepb.HostBeat) {
 	b.Region, b.FailureDomain, b.PeerAddress, b.CallerAddress = "", "", "", ""
+	b.Capacity = 0
 }
 
 func (h *Host) sendTo(socket net.PacketConn, beat *wirepb.Heartbeat, targets []string) {
@@ -192,6 +193,7 @@
 		CallerAddress: b.CallerAddress,
 		State:         wirepb.BeatState(b.State + 1),
 		StoreLost:     b.StoreLost,
+		Capacity:      uint32(b.Capacity),
 		AgeMillis:     uint32(age.Milliseconds()),
 	}
 }
@@ -204,6 +206,7 @@
 		Domain:        b.GetFailureDomain(),
 		PeerAddress:   b.GetPeerAddress(),
 		CallerAddress: b.GetCallerAddress(),
+		Capacity:      int(b.GetCapacity()),
 		State:         roster.State(b.GetState() - 1),
 		StoreLost:     b.GetStoreLost(),
 	}
--- a/internal/host/reload_test.go
+++ b/internal/host/reload_test.go
@@ -31,6 +31,8 @@
 seeds = 127.0.0.1:7714
 [limits]
 memory = 200 MB
+cores = 0.224
+link = 700 Mbit/s
 [domains]
 west-a = west
 [bounds]
@@ -53,9 +55,12 @@
 	if len(faults) > 0 || s.Domain != "west-a" || s.Bounds.Grace != 6*time.Second || len(s.Seeds) != 1 {
 		t.Fatalf("%+v, %v", s, faults)
 	}
-	bad := strings.NewReplacer("127.0.0.1:7710", "here", "200 MB", "many", "west-a = west", "west-a = east", "id = west-1", "name = west-1").Replace(goodSettings)
+	if got := capacityOf(s); got != 24 {
+		t.Errorf("capacity %d of 0.224 cores, want 24", got)
+	}
+	bad := strings.NewReplacer("0.224", "some", "700 Mbit/s", "700", "127.0.0.1:7710", "here", "200 MB", "many", "west-a = west", "west-a = east", "id = west-1", "name = west-1").Replace(goodSettings)
 	_, faults = CheckSettings("host.ini", bad, graceOnly)
-	for _, want := range []string{"callers", "memory", "failure-domain", "name", "id"} {
+	for _, want := range []string{"callers", "memory", "cores", "link", "failure-domain", "name", "id"} {
 		if !strings.Contains(faults.Error(), want) {
 			t.Errorf("no fault names %q:\n%v", want, faults)
 		}
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -22,6 +22,11 @@
 	Seeds []string
 	// Memory is what the process may use.
 	Memory int64
+	// Cores is the processor time that the process may use, in seconds per
+	// second. It is 0 if it is not known.
+	Cores float64
+	// Link is the bandwidth of the host in bytes per second, or 0.
+	Link float64
 	// RegionOf gives the region of each failure domain.
 	RegionOf map[string]string
 	Bounds   Bounds
@@ -70,8 +75,10 @@
 var sectionNames = []string{sectionHost, sectionListen, sectionStore, sectionPeers, sectionLimits, sectionDomains, sectionBounds}
 
 const (
-	minMemory = 32 << 20 // the runtime and the connections of a quiet host
-	maxMemory = 64 << 30
+	minCores, maxCores = 0.01, 1024
+	minLink, maxLink   = 100_000 / 8, 1e12 / 8
+	minMemory          = 32 << 20 // the runtime and the connections of a quiet host
+	maxMemory          = 64 << 30
 )
 
 // LoadSettings reads a settings file. The error has every fault of the file.
@@ -138,6 +145,14 @@
 		Memory:       sections[sectionLimits].Size("memory", minMemory, maxMemory),
 		RegionOf:     values(sections[sectionDomains]),
 	}
+	limits := sections[sectionLimits]
+	limits.Known("memory", "cores", "link")
+	if limits.Has("cores") {
+		s.Cores = limits.Number("cores", minCores, maxCores)
+	}
+	if limits.Has("link") {
+		s.Link = limits.Rate("link", minLink, maxLink)
+	}
 	if listen.Has("metrics") {
 		s.Listen.Metrics = listen.Address("metrics")
 	}
--- a/internal/host/share.go
+++ b/internal/host/share.go
@@ -51,7 +51,7 @@
 	h.rosterMu.Lock()
 	self := h.roster.Self()
 	var targets []string
-	for _, beat := range h.roster.Entries(now, self.Region, h.entryCount()) {
+	for _, beat := range h.roster.EntriesFor(now, self.Region, h.slotsPerRegion()) {
 		if beat.ID != self.ID {
 			targets = append(targets, beat.PeerAddress)
 		}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -45,6 +45,9 @@
 	delegates = 2
 	// readers is the number of hosts of a region that read the store for it.
 	readers = 2
+	// minEntries hosts of a region carry its requests, so that the loss of one
+	// leaves callers another address.
+	minEntries = 2
 )
 
 // State is the state of a host.
@@ -66,7 +69,9 @@
 	Domain        string
 	PeerAddress   string
 	CallerAddress string
-	State         State
+	// Capacity is the number of server slots whose requests the host can carry.
+	Capacity int
+	State    State
 	// StoreLost says that the store does not answer the host.
 	StoreLost bool
 }
@@ -334,8 +339,7 @@
 
 // Entries returns up to count ready hosts of a region, spread over its failure
 // domains. Hosts with the same view choose the same ones, and few change when
-// a host comes or goes. Callers on few hosts let each of these see enough
-// answers to know the load of the servers.
+// a host comes or goes.
 func (r *Roster) Entries(now time.Time, region string, count int) []Beat {
 	var ready []Beat
 	for _, beat := range r.Live(now) {
@@ -346,9 +350,37 @@
 	return spread(region, ready, count)
 }
 
-// spread chooses up to count hosts by rendezvous hashing, one failure domain
-// after the other.
+// EntriesFor returns the hosts that carry the requests for so many server slots
+// of a region. Callers choose among them at random, so the one with the least
+// capacity decides how many there have to be. Callers on few hosts let each of
+// these see enough answers to know the load of the servers.
+func (r *Roster) EntriesFor(now time.Time, region string, slots int) []Beat {
+	ready := r.Entries(now, region, len(r.members)+1)
+	for n := minEntries; n < len(ready); n++ {
+		if n*ready[n-1].Capacity >= slots {
+			return ready[:n]
+		}
+	}
+	return ready
+}
+
+// spread chooses up to count hosts: those of the highest capacity first, and
+// among equals by rendezvous hashing, one failure domain after the other.
 func spread(key string, hosts []Beat, count int) []Beat {
+	byCapacity := make(map[int][]Beat)
+	for _, beat := range hosts {
+		byCapacity[beat.Capacity] = append(byCapacity[beat.Capacity], beat)
+	}
+	capacities := slices.Sorted(maps.Keys(byCapacity))
+	slices.Reverse(capacities)
+	var chosen []Beat
+	for _, capacity := range capacities {
+		chosen = append(chosen, spreadEqual(key, byCapacity[capacity], count-len(chosen))...)
+	}
+	return chosen
+}
+
+func spreadEqual(key string, hosts []Beat, count int) []Beat {
 	byDomain := make(map[string][]Beat)
 	for _, beat := range hosts {
 		byDomain[beat.Domain] = append(byDomain[beat.Domain], beat)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -246,3 +246,40 @@
 		t.Errorf("%d whole heartbeats, want %d at most", introduced, limit)
 	}
 }
+
+// Guards against small hosts that get as many requests as large ones, because
+// callers choose among the entry hosts at random.
+func TestLargeHostsAreEntriesFirst(t *testing.T) {
+	r := newRoster(beat("observer", "east", "e"))
+	hear := func(id, domain string, capacity int) {
+		b := beat(id, "west", domain)
+		b.Capacity = capacity
+		r.Heard(start, b, 0)
+	}
+	for i := range 20 {
+		hear(fmt.Sprintf("small-%d", i), string(rune('a'+i%2)), 5)
+	}
+	if got := r.EntriesFor(start, "west", 60); len(got) != 12 {
+		t.Errorf("%d small hosts for 60 slots, want 12", len(got))
+	}
+	for i := range 4 {
+		hear(fmt.Sprintf("large-%d", i), string(rune('a'+i%2)), 30)
+	}
+	for slots, want := range map[int]int{1: 2, 60: 2, 61: 3, 120: 4} {
+		got := r.EntriesFor(start, "west", slots)
+		if len(got) != want {
+			t.Errorf("%d entry hosts for %d slots, want %d", len(got), slots, want)
+		}
+		if got[0].Domain == got[1].Domain {
+			t.Errorf("the first two entry hosts for %d slots are in one failure domain", slots)
+		}
+		for _, b := range got {
+			if b.Capacity != 30 {
+				t.Errorf("%s is an entry host for %d slots", b.ID, slots)
+			}
+		}
+	}
+	if got := r.EntriesFor(start, "west", 1000); len(got) != 24 {
+		t.Errorf("%d entry hosts for more slots than all can carry, want all 24", len(got))
+	}
+}
