Keep ranks with a job and digests with a collection

Cause: each look at a waiting request ranked all servers anew, every 40 ms and with each answer; each heartbeat sent or received hashed every object of three collections. Both grow with the fleet.

Ruled out: a cache of ranks beside the view; a job lives as long as it needs one.

Change: a job keeps its rank for the view that it was made by; put and remove keep the digest up to date.

--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -28,6 +28,8 @@
 	objects map[Collection]map[string]Object
 	// asOf is the revision of the store for which a collection holds.
 	asOf map[Collection]uint64
+	// digests follow the objects; see Mark.
+	digests map[Collection]uint64
 	// lapsed are servers that this host still uses although their entries have
 	// vanished. They are no part of marks and snapshots.
 	lapsed     map[string]time.Time
@@ -49,6 +51,7 @@
 		},
 		objects: map[Collection]map[string]Object{Configuration: {}, Servers: {}, Evacuations: {}},
 		asOf:    make(map[Collection]uint64),
+		digests: make(map[Collection]uint64),
 		lapsed:  make(map[string]time.Time),
 	}
 }
@@ -111,11 +114,25 @@
 
 // Mark returns the mark of a collection.
 func (s *State) Mark(c Collection) Mark {
-	mark := Mark{AsOf: s.asOf[c]}
-	for _, o := range s.objects[c] {
-		mark.Digest ^= rendezvous.Score(o.Name, strconv.FormatUint(o.Revision, 10))
+	return Mark{AsOf: s.asOf[c], Digest: s.digests[c]}
+}
+
+// keep and drop change the objects and their digest.
+func (s *State) keep(c Collection, o Object) {
+	s.drop(c, o.Name)
+	s.objects[c][o.Name] = o
+	s.digests[c] ^= digestOf(o)
+}
+
+func (s *State) drop(c Collection, name string) {
+	if known, ok := s.objects[c][name]; ok {
+		s.digests[c] ^= digestOf(known)
+		delete(s.objects[c], name)
 	}
-	return mark
+}
+
+func digestOf(o Object) uint64 {
+	return rendezvous.Score(o.Name, strconv.FormatUint(o.Revision, 10))
 }
 
 func (s *State) put(now time.Time, c Collection, o Object) {
@@ -137,7 +154,7 @@
 	case Evacuations:
 		s.view.Evacuated[o.Name] = true
 	}
-	s.objects[c][o.Name] = o
+	s.keep(c, o)
 }
 
 // putConfig never replaces a version by a lower one.
@@ -157,7 +174,7 @@
 	case Configuration:
 		// The last version stays in force.
 	case Servers:
-		delete(s.objects[c], name)
+		s.drop(c, name)
 		server, ok := s.view.Servers[name]
 		if ok && server.State == fleet.Ready && now.Before(s.lapseUntil) {
 			s.lapsed[name] = s.regainedAt.Add(lapseGrace)
@@ -171,7 +188,7 @@
 			s.view.ReleasedAt[name] = now
 		}
 		delete(s.view.Evacuated, name)
-		delete(s.objects[c], name)
+		s.drop(c, name)
 	}
 }
 
--- a/pkg/scheduler/choice.go
+++ b/pkg/scheduler/choice.go
@@ -51,9 +51,12 @@
 
 // candidates returns the usable servers that rank highest for the job.
 func (s *Scheduler) candidates(now time.Time, svc *service, job *Job) []*server {
-	const all = 1 << 30
+	if job.rankedBy != svc.view {
+		const all = 1 << 30
+		job.ranked, job.rankedBy = svc.view.Rank(job.Object, all), svc.view
+	}
 	usable := make([]*server, 0, candidateCount)
-	for _, id := range svc.view.Rank(job.Object, all) {
+	for _, id := range job.ranked {
 		server := s.servers[id]
 		if server == nil || !server.usable(now) || slices.Contains(job.Tried, id) {
 			continue
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -54,8 +54,11 @@
 	Tried []string
 
 	arrived time.Time
-	sent    running
-	server  *server
+	// ranked is the order of servers for the object by the view rankedBy.
+	ranked   []string
+	rankedBy *placement.View
+	sent     running
+	server   *server
 }
 
 // running is a job at a server.
