--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -239,7 +239,7 @@
 		h.Log.Emit(events.StoreCallFailed, events.Subject("hosts/"+h.Settings.ID), events.Reason(err))
 		return false
 	}
-	listed, err := h.Store.List(ctx, inventory.Hosts)
+	listed, err := h.Store.ListOld(ctx, inventory.Hosts)
 	if err != nil {
 		h.Log.Emit(events.StoreCallFailed, events.Subject("hosts"), events.Reason(err))
 		return false
