Serve the metrics as text, with ages and budgets

Cause: the metrics address of the users' platform served JSON only, and an engineer could not see how old a host's state was or what its retry budget left.

Change: /metrics has one line for each value, with labels for service, rank and result code; /debug/vars stays as it is, and one registry feeds both. New are the age of each collection, the retries left and the log lines dropped. The host serves them through internal/metrics instead of a copy of it.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -182,9 +182,7 @@
 	group.Go(func() error { h.reader.Run(work); return nil })
 	group.Go(func() error { h.maintain(work); return nil })
 	group.Go(func() error { h.register(work); return nil })
-	if h.Settings.Listen.Metrics != "" {
-		group.Go(func() error { return h.serveMetrics(work) })
-	}
+	group.Go(func() error { return metrics.Serve(work, h.Settings.Listen.Metrics, h.Metrics) })
 	group.Go(func() error {
 		select {
 		case <-work.Done():
--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -102,41 +101,3 @@
 	}
 	return plain(http.StatusOK)
 }
-
-// publishGauges adds what is read when the metrics are asked for.
-func (h *Host) publishGauges() {
-	h.Metrics.Gauge("config_version", func() any { return h.configVersion() })
-	h.Metrics.Gauge("servers", func() any { return len(h.reader.View().Servers) })
-	h.Metrics.Gauge("caller_connections", func() any { return h.entry.Connections() })
-	h.Metrics.Gauge("caller_requests_refused", func() any { return h.entry.Refused() })
-	h.Metrics.Gauge("store_lost", func() any { return h.reader.StoreLost() })
-	h.Metrics.Gauge("store_calls", func() any {
-		made, failed := h.reader.Calls()
-		return map[string]int64{"made": made, "failed": failed}
-	})
-	h.Metrics.Gauge("crashing_requests", func() any {
-		suspected, convicted := h.crashes.counts(time.Now())
-		return map[string]int{"suspected": suspected, "convicted": convicted}
-	})
-	h.Metrics.Gauge("load", func() any {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return map[string]int{"waiting": h.scheduler.Waiting(), "running": h.scheduler.Running()}
-	})
-}
-
-// serveMetrics serves the metrics until ctx ends.
-func (h *Host) serveMetrics(ctx context.Context) error {
-	const headerTimeout = 5 * time.Second
-	server := &http.Server{Handler: h.Metrics.Handler(), ReadHeaderTimeout: headerTimeout}
-	listener, err := net.Listen("tcp", h.Settings.Listen.Metrics)
-	if err != nil {
-		return err
-	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); ctx.Err() == nil {
-		return err
-	}
-	return nil
-}
--- a/internal/host/program.go
+++ b/internal/host/program.go
@@ -49,7 +49,7 @@
 }
 
 // reportDropped logs how many lines the output did not take in time.
-func reportDropped(ctx context.Context, log *events.Log, output *events.Buffered) {
+func reportDropped(ctx context.Context, log *events.Log, output *events.Buffered, counts *metrics.Registry) {
 	tick := time.NewTicker(droppedInterval)
 	defer tick.Stop()
 	for {
@@ -58,6 +58,7 @@
 			return
 		case <-tick.C:
 			if n := output.Dropped(); n > 0 {
+				counts.Add("log_lines_dropped", int64(n))
 				log.Emit(events.LinesDropped, events.Count(n))
 			}
 		}
@@ -131,8 +132,9 @@
 	log := events.New(output, level, time.Now)
 	defer log.Flush()
 	log.Emit(events.DaemonStarted, events.Host(model.HostID(s.ID)), events.Region(model.Region(s.Region)), events.FailureDomain(model.FailureDomain(s.Domain)))
-	h := New(Base{Settings: s, Protocol: p.Protocol, Store: p.Store(s.StoreAddress), Decoder: p.Decoder(s.RegionOf), Log: log, Metrics: metrics.New()})
-	go reportDropped(ctx, log, output)
+	registry := metrics.New()
+	h := New(Base{Settings: s, Protocol: p.Protocol, Store: p.Store(s.StoreAddress), Decoder: p.Decoder(s.RegionOf), Log: log, Metrics: registry})
+	go reportDropped(ctx, log, output, registry)
 	go h.followSettings(ctx, path, load, hangUp)
 	if err := h.Run(ctx); err != nil {
 		log.Emit(events.DaemonFailed, events.Host(model.HostID(s.ID)), events.Reason(err))
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -56,6 +56,8 @@
 
 	mu    sync.Mutex
 	state *State
+	// heardAt is when a collection was last known to be up to date.
+	heardAt map[Collection]time.Time
 	// lostAt is when the first call failed of those that failed in a row.
 	lostAt time.Time
 	// relist has the collections whose watch is not trusted any more.
@@ -81,7 +83,8 @@
 	r := &Reader{
 		source: source, log: log, now: now, role: role,
 		onView: on.View, onChange: on.Change,
-		relist: make(map[Collection]context.CancelFunc),
+		relist:  make(map[Collection]context.CancelFunc),
+		heardAt: make(map[Collection]time.Time),
 	}
 	r.state = NewState(decoder, r.skipped)
 	r.view.Store(r.state.View())
@@ -245,6 +248,7 @@
 	defer r.mu.Unlock()
 	r.log.Emit(events.StoreRead, events.Subject(c.String()), events.Count(len(batch.Objects)), events.Generation(model.Generation(batch.Revision)))
 	before := r.state.Mark(c)
+	r.heardAt[c] = r.now()
 	into(r.now(), c, batch)
 	if r.state.Mark(c).Digest == before.Digest {
 		return
@@ -258,6 +262,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.state.Mark(c)
+	r.heardAt[c] = r.now()
 	r.state.Listing(r.now(), c, batch)
 	if r.state.Mark(c).Digest != before.Digest {
 		r.publish()
@@ -273,6 +278,7 @@
 	if before.Digest != change.Before.Digest || before.AsOf == 0 || change.AsOf < before.AsOf {
 		return false
 	}
+	r.heardAt[change.Collection] = r.now()
 	r.state.Changes(r.now(), change.Collection, Batch{Objects: change.Objects, Revision: change.AsOf})
 	r.publish()
 	return true
@@ -283,10 +289,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state.asOf[c] > 0 {
+		r.heardAt[c] = r.now()
 		r.state.confirm(c, asOf)
 	}
 }
 
+// Age is the time since a collection was last known to be up to date; 0 if it
+// was never read.
+func (r *Reader) Age(c Collection) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, ok := r.heardAt[c]; ok {
+		return r.now().Sub(at)
+	}
+	return 0
+}
+
 // Snapshot returns a collection, for a peer.
 func (r *Reader) Snapshot(c Collection) Batch {
 	r.mu.Lock()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,9 @@
 // entry, so a caller cannot make a daemon's memory grow with invented names.
 const maxPairs = 128
 
+// requestsName is the name of the pairs in the registry.
+const requestsName = "requests"
+
 // otherPair is the key of the shared entry.
 const otherPair = "other/other"
 
@@ -35,7 +38,7 @@
 func New() *Registry {
 	r := &Registry{root: new(expvar.Map).Init(), counters: new(expvar.Map).Init(), pairs: make(map[string]*pair)}
 	r.root.Set("counters", r.counters)
-	r.root.Set("requests", expvar.Func(r.summaries))
+	r.root.Set(requestsName, expvar.Func(func() any { return r.pairSummaries() }))
 	return r
 }
 
@@ -93,7 +96,7 @@
 	return p
 }
 
-func (r *Registry) summaries() any {
+func (r *Registry) pairSummaries() map[string]PairSummary {
 	r.mu.Lock()
 	pairs := make(map[string]*pair, len(r.pairs))
 	for key, p := range r.pairs {
@@ -107,10 +110,11 @@
 	return out
 }
 
-// Handler serves the registry and the memory statistics of the process at
-// /debug/vars.
+// Handler serves the registry as text at /metrics, and as JSON with the memory
+// statistics of the process at /debug/vars.
 func (r *Registry) Handler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", r.serveText)
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		fmt.Fprintf(w, "{\"memstats\":%s,\"wisteria\":%s}\n", expvar.Get("memstats"), r)
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -61,3 +61,31 @@
 		t.Errorf("%d result codes", len(other.Results))
 	}
 }
+
+// Guards against text that lacks a value, repeats it or changes its order.
+func TestTextHasEveryValueOnce(t *testing.T) {
+	r := New()
+	r.Add("lookups", 3)
+	r.Gauge("store_lost", func() any { return true })
+	r.Gauge("load", func() any { return map[string]int{"waiting": 1, "running": 2} })
+	r.CountResult("desk", "0", result.Served)
+	r.CountResult("desk", "0", result.WouldMissDeadline)
+	r.ObserveLatency("desk", "0", 100*time.Millisecond)
+	w := httptest.NewRecorder()
+	r.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	want := `wisteria_counters_lookups 3
+wisteria_load_running 2
+wisteria_load_waiting 1
+wisteria_store_lost 1
+wisteria_results{service="desk",rank="0",code="100"} 1
+wisteria_results{service="desk",rank="0",code="207"} 1
+wisteria_latency_ms{service="desk",rank="0",quantile="0.5"} 100.351
+wisteria_latency_ms{service="desk",rank="0",quantile="0.9"} 100.351
+wisteria_latency_ms{service="desk",rank="0",quantile="0.99"} 100.351
+wisteria_latency_ms{service="desk",rank="0",quantile="1"} 100.351
+wisteria_latency_ms_count{service="desk",rank="0"} 1
+`
+	if got := w.Body.String(); got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
--- a/pkg/retrybudget/window.go
+++ b/pkg/retrybudget/window.go
@@ -34,13 +34,26 @@
 	w.first = append(dropOld(w.first, now.Add(-w.span)), now)
 }
 
-// Retry takes one retry out of the budget and reports whether it was there.
-func (w *Window) Retry(now time.Time) bool {
+// Left returns the number of retries that the budget allows now.
+func (w *Window) Left(now time.Time) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return max(int(w.allowed(now))-len(w.retried), 0)
+}
+
+// allowed drops what has left the window and returns the retries that may be
+// in it. It is called with the lock held.
+func (w *Window) allowed(now time.Time) float64 {
 	w.first = dropOld(w.first, now.Add(-w.span))
 	w.retried = dropOld(w.retried, now.Add(-w.span))
-	if float64(len(w.retried)+1) > w.share*float64(len(w.first))+w.slack {
+	return w.share*float64(len(w.first)) + w.slack
+}
+
+// Retry takes one retry out of the budget and reports whether it was there.
+func (w *Window) Retry(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if float64(len(w.retried)+1) > w.allowed(now) {
 		return false
 	}
 	w.retried = append(w.retried, now)
