Let hosts that stand by beat to the active ones only

Cause: every host beat to every host of its region, 2.5 times a second. Of 36 hosts that is 3150 datagrams a second and a third of the bytes between failure domains; the introductions of 12 hosts in each eighth beat were most of it. In such a region no host of another region was ever introduced, either, because those of the own region came first.

Ruled out: SWIM probes (pkg/membership): what has to be known within 1.7 s is which entry hosts and readers live, and these are few.

Change: in a region of more than 12 hosts, those that carry no requests and read no store beat every third interval, to the active ones; they count as dead after 5 s. Who stands by follows from the view, so a host whose active peers fall silent becomes active and is heard by all. Delegates introduce the entry hosts of other regions first. Loss and return of the store for the readers is looked at when their word changes and with each own heartbeat, not with each one received.

The new test of 40 hosts in a region fails without the change by its bound on heartbeats, and for introductions of other regions.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -82,7 +82,7 @@
 	// newsMu guards ahead: the peers that know more of a collection.
 	newsMu sync.Mutex
 	ahead  map[inventory.Collection]peerAhead
-	// readersLost belongs to the goroutine that receives heartbeats.
+	// readersLost is guarded by newsMu.
 	readersLost bool
 	beatSocket  atomic.Pointer[net.PacketConn]
 	// slots is the number of slots of all servers, for the number of entry hosts.
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -86,8 +86,9 @@
 	h.rosterMu.Lock()
 	h.roster.SetState(h.state(), storeLost)
 	self := h.roster.Self()
-	messages := h.roster.Beats(now)
+	messages := h.roster.Beats(now, h.slotsPerRegion())
 	h.rosterMu.Unlock()
+	h.watchReaders(now)
 	for _, m := range messages {
 		beat := &wirepb.Heartbeat{Self: beatToWire(self, 0), Collections: h.collectionStates(), Suspects: h.crashes.notices(now)}
 		for _, other := range m.Introduced {
@@ -152,8 +153,10 @@
 
 func (h *Host) heard(message *wirepb.Heartbeat) {
 	now := time.Now()
+	said := beatFromWire(message.GetSelf())
 	h.rosterMu.Lock()
-	h.roster.Heard(now, beatFromWire(message.GetSelf()), 0)
+	before, _ := h.roster.Peer(said.ID)
+	h.roster.Heard(now, said, 0)
 	for _, other := range message.GetOthers() {
 		h.roster.Heard(now, beatFromWire(other), time.Duration(other.GetAgeMillis())*time.Millisecond)
 	}
@@ -161,7 +164,9 @@
 	for _, notice := range message.GetSuspects() {
 		h.crashes.heard(notice, now)
 	}
-	h.watchReaders(now)
+	if before.StoreLost != said.StoreLost {
+		h.watchReaders(now)
+	}
 	h.heardOfStore(now, message)
 }
 
@@ -194,6 +199,7 @@
 		State:         wirepb.BeatState(b.State + 1),
 		StoreLost:     b.StoreLost,
 		Capacity:      uint32(b.Capacity),
+		Standby:       b.Standby,
 		AgeMillis:     uint32(age.Milliseconds()),
 	}
 }
@@ -207,6 +213,7 @@
 		PeerAddress:   b.GetPeerAddress(),
 		CallerAddress: b.GetCallerAddress(),
 		Capacity:      int(b.GetCapacity()),
+		Standby:       b.GetStandby(),
 		State:         roster.State(b.GetState() - 1),
 		StoreLost:     b.GetStoreLost(),
 	}
--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -35,17 +35,21 @@
 	remote  bool
 }
 
-// watchReaders notes when the store comes back for the readers of the region:
+// watchReaders is called when what a host says of the store changes, and with
+// each heartbeat, since readers also fall silent. It notes when the store comes back for the readers of the region:
 // entries of living servers may have lapsed meanwhile, also for hosts that do
 // not read the store themselves.
 func (h *Host) watchReaders(now time.Time) {
 	h.rosterMu.Lock()
 	lost := h.roster.ReadersLost(now)
 	h.rosterMu.Unlock()
-	if h.readersLost && !lost {
+	h.newsMu.Lock()
+	regained := h.readersLost && !lost
+	h.readersLost = lost
+	h.newsMu.Unlock()
+	if regained {
 		h.reader.Regained()
 	}
-	h.readersLost = lost
 }
 
 // readsStore is the inventory's role. A host that knows nothing yet reads for
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,8 +1,9 @@
 // Package roster keeps a host's view of the other hosts from heartbeats, and
 // chooses the entry hosts that callers are told to use.
 //
-// Heartbeats go to every host of the region and to one host of each other
-// region, so a host's traffic grows with its region and not with the fleet.
+// Hosts that carry requests or read the store beat to every host of the region
+// and, through delegates, to one host of each other region. In a large region
+// the others, which stand by, beat to these only.
 // The package does no I/O; a Roster is not safe for concurrent use.
 package roster
 
@@ -26,6 +27,15 @@
 	// RemoteTimeout is the same for other regions, whose news comes through
 	// one of their hosts at a time.
 	RemoteTimeout = 5 * time.Second
+	// standbyEvery is the number of intervals between the heartbeats of a host
+	// that carries no requests, in a region of more than smallRegion hosts: the
+	// traffic of hosts that all beat to each other grows with the square of the
+	// region. Bytes and wake-ups of 36 hosts took 0.05 of a day's worth.
+	standbyEvery = 3
+	smallRegion  = 12
+	// StandbyTimeout is the silence after which such a host is taken for dead:
+	// four of its heartbeats.
+	StandbyTimeout = 5 * time.Second
 	// forgetAfter is how long the address of a silent host is tried.
 	forgetAfter = 30 * time.Second
 	// maxIntroduced bounds the hosts named in one heartbeat, so that it fits a
@@ -74,6 +84,8 @@
 	State    State
 	// StoreLost says that the store does not answer the host.
 	StoreLost bool
+	// Standby hosts beat less often.
+	Standby bool
 }
 
 // isWhole reports whether the beat has what does not change, too.
@@ -147,9 +159,9 @@
 		if beat.Incarnation != known.beat.Incarnation {
 			return
 		}
-		state, lost := beat.State, beat.StoreLost
+		said := beat
 		beat = known.beat
-		beat.State, beat.StoreLost = state, lost
+		beat.State, beat.StoreLost, beat.Standby = said.State, said.StoreLost, said.Standby
 	}
 	newer := beat.Incarnation > known.beat.Incarnation
 	if newer || beat.Incarnation == known.beat.Incarnation && at.After(known.heard) {
@@ -166,30 +178,74 @@
 	Whole bool
 }
 
-// Beats returns the heartbeats of one interval.
-func (r *Roster) Beats(now time.Time) []Message {
+// Beats returns the heartbeats of one interval. slots is the number of server
+// slots for which the region carries requests.
+func (r *Roster) Beats(now time.Time, slots int) []Message {
 	local, remote := r.forgetSilent(now)
 	defer func() { r.beats++ }()
-	newcomer := r.beats < newcomerBeats
 	if len(local)+len(remote) == 0 {
 		return []Message{{To: slices.Clone(r.seeds), Whole: true}}
 	}
+	active := r.active(now, slots)
+	newcomer := r.beats < newcomerBeats
+	r.self.Standby = len(local) >= smallRegion && !newcomer && r.self.State == Ready && !containsHost(active, r.self.ID)
+	var messages []Message
+	if r.self.Standby {
+		messages = r.standbyBeat(active)
+	} else {
+		messages = []Message{r.fullBeat(now, local, newcomer)}
+	}
+	messages = append(messages, r.welcomes(now)...)
+	if r.beats%remoteEvery == 0 && r.isDelegate(now) {
+		messages = append(messages, r.remoteBeat(now, remote))
+	}
+	return messages
+}
+
+// active returns the hosts of the region that carry requests, read the store or
+// speak to other regions.
+func (r *Roster) active(now time.Time, slots int) []Beat {
+	// The delegates are the first of the entry hosts.
+	return append(r.EntriesFor(now, r.self.Region, slots), r.storeReaders(now, Beat.stays)...)
+}
+
+// fullBeat goes to the whole region.
+func (r *Roster) fullBeat(now time.Time, local []string, newcomer bool) Message {
 	near := Message{To: local}
 	if newcomer || r.beats%introduceEvery == 0 {
 		near.Introduced, near.Whole = r.introductions(now, ""), true
-		if len(r.seeds) > 0 {
-			// A seed now and then joins parts of the fleet that started apart.
-			near.To = append(near.To, r.seeds[r.rng.IntN(len(r.seeds))])
-		}
+		near.To = append(near.To, r.randomSeed()...)
 	}
 	slices.Sort(near.To)
 	near.To = slices.Compact(near.To)
-	messages := []Message{near}
-	messages = append(messages, r.welcomes(now)...)
-	if r.beats%remoteEvery == 0 && r.isDelegate(now) {
-		messages = append(messages, r.remoteBeat(now, remote))
+	return near
+}
+
+// standbyBeat goes to the active hosts only, which tell the others now and then
+// of each other.
+func (r *Roster) standbyBeat(active []Beat) []Message {
+	if r.beats%standbyEvery != 0 {
+		return nil
 	}
-	return messages
+	message := Message{Whole: true}
+	if r.beats%(standbyEvery*introduceEvery) == 0 {
+		message.To = r.randomSeed()
+	}
+	for _, b := range active {
+		message.To = append(message.To, b.PeerAddress)
+	}
+	slices.Sort(message.To)
+	message.To = slices.Compact(message.To)
+	return []Message{message}
+}
+
+// randomSeed returns a seed: a heartbeat to one now and then joins parts of the
+// fleet that started apart.
+func (r *Roster) randomSeed() []string {
+	if len(r.seeds) == 0 {
+		return nil
+	}
+	return []string{r.seeds[r.rng.IntN(len(r.seeds))]}
 }
 
 // welcomes tells hosts that are new to this one of the hosts of their region.
@@ -227,15 +283,21 @@
 	return containsHost(r.Entries(now, r.self.Region, delegates), r.self.ID) || r.self.State != Ready
 }
 
-// remoteBeat goes to one delegate of each other region.
+// remoteBeat goes to one delegate of each other region, or to all of them if it
+// is large: there the delegates' introductions are all that the others hear.
 func (r *Roster) remoteBeat(now time.Time, regions map[string]bool) Message {
 	message := Message{Whole: true, Introduced: r.introductions(now, r.self.Region)}
-	for region := range regions {
+	for _, region := range slices.Sorted(maps.Keys(regions)) {
 		known := r.Entries(now, region, delegates)
 		if len(known) == 0 {
 			known = r.anyOf(region)
 		}
-		message.To = append(message.To, known[r.rng.IntN(len(known))].PeerAddress)
+		if len(r.anyOf(region)) < smallRegion {
+			known = known[r.rng.IntN(len(known)):][:1]
+		}
+		for _, b := range known[:min(len(known), delegates)] {
+			message.To = append(message.To, b.PeerAddress)
+		}
 	}
 	return message
 }
@@ -247,6 +309,7 @@
 			beats = append(beats, m.beat)
 		}
 	}
+	slices.SortFunc(beats, func(a, b Beat) int { return strings.Compare(a.ID, b.ID) })
 	return beats
 }
 
@@ -254,33 +317,60 @@
 	return slices.ContainsFunc(beats, func(b Beat) bool { return b.ID == id })
 }
 
-// introductions returns live hosts of a region, or of all regions with those
-// of the own region first.
+// introductions returns live hosts of a region, or of all regions: first entry
+// hosts of the other regions, of which a host hears in no other way.
 func (r *Roster) introductions(now time.Time, region string) []Introduction {
 	var found []Introduction
+	regions := make(map[string]bool)
 	for _, m := range r.members {
 		if r.isLive(now, m) && (region == "" || m.beat.Region == region) {
 			found = append(found, Introduction{Beat: m.beat, Age: now.Sub(m.heard)})
+			regions[m.beat.Region] = true
+		}
+	}
+	entries := make(map[string]bool)
+	for of := range regions {
+		if of != r.self.Region || region != "" {
+			for _, b := range r.Entries(now, of, delegates) {
+				entries[b.ID] = true
+			}
+		}
+	}
+	order := func(i Introduction) int {
+		switch {
+		case entries[i.ID]:
+			return 0
+		case i.Region == r.self.Region:
+			return 1
 		}
+		return 2
 	}
+	slices.SortFunc(found, func(a, b Introduction) int { return strings.Compare(a.ID, b.ID) })
 	r.rng.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
-	slices.SortStableFunc(found, func(a, b Introduction) int {
-		return cmp.Compare(r.remoteness(a.Region), r.remoteness(b.Region))
-	})
+	slices.SortStableFunc(found, func(a, b Introduction) int { return cmp.Compare(order(a), order(b)) })
 	return found[:min(len(found), maxIntroduced)]
 }
 
 // ReadersLost reports whether the store answers none of the hosts that read it
 // for the region.
 func (r *Roster) ReadersLost(now time.Time) bool {
+	reading := r.storeReaders(now, Beat.stays)
+	return len(reading) > 0 && !slices.ContainsFunc(reading, Beat.reachesStore)
+}
+
+func (b Beat) stays() bool { return b.State != Leaving }
+
+func (b Beat) reachesStore() bool { return !b.StoreLost }
+
+// storeReaders chooses the readers of the region among the hosts that may read.
+func (r *Roster) storeReaders(now time.Time, may func(Beat) bool) []Beat {
 	var near []Beat
 	for _, beat := range r.Live(now) {
-		if beat.Region == r.self.Region && beat.State != Leaving {
+		if beat.Region == r.self.Region && beat.stays() && may(beat) {
 			near = append(near, beat)
 		}
 	}
-	reading := spread(r.self.Region+"/store", near, readers)
-	return len(reading) > 0 && !slices.ContainsFunc(reading, func(b Beat) bool { return !b.StoreLost })
+	return spread(r.self.Region+"/store", near, readers)
 }
 
 // Peer returns what is known of another host.
@@ -296,30 +386,16 @@
 // that the store does not answer are replaced, but those that rank highest go
 // on trying.
 func (r *Roster) IsReader(now time.Time) bool {
-	var all, answered []Beat
-	for _, beat := range r.Live(now) {
-		if beat.Region != r.self.Region || beat.State == Leaving {
-			continue
-		}
-		all = append(all, beat)
-		if !beat.StoreLost {
-			answered = append(answered, beat)
-		}
-	}
-	return containsHost(spread(r.self.Region+"/store", all, readers), r.self.ID) ||
-		containsHost(spread(r.self.Region+"/store", answered, readers), r.self.ID)
-}
-
-func (r *Roster) remoteness(region string) int {
-	if region == r.self.Region {
-		return 0
-	}
-	return 1
+	return containsHost(r.storeReaders(now, Beat.stays), r.self.ID) ||
+		containsHost(r.storeReaders(now, Beat.reachesStore), r.self.ID)
 }
 
 func (r *Roster) isLive(now time.Time, m *member) bool {
 	limit := RemoteTimeout
-	if m.beat.Region == r.self.Region {
+	switch {
+	case m.beat.Region == r.self.Region && m.beat.Standby:
+		limit = StandbyTimeout
+	case m.beat.Region == r.self.Region:
 		limit = LocalTimeout
 	}
 	return now.Sub(m.heard) < limit
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
 
 var start = time.Unix(1000, 0)
 
+// fewSlots need the least number of entry hosts.
+const fewSlots = 1
+
 func beat(id, region, domain string) Beat {
-	return Beat{ID: id, Incarnation: 1, Region: region, Domain: domain, PeerAddress: "p-" + id, CallerAddress: "c-" + id, State: Ready}
+	return Beat{ID: id, Incarnation: 1, Region: region, Domain: domain, PeerAddress: "p-" + id, CallerAddress: "c-" + id, Capacity: 1, State: Ready}
 }
 
 func newRoster(self Beat, seeds ...string) *Roster {
@@ -45,15 +50,19 @@
 	return n
 }
 
+// addresses are in a fixed order, so that a run repeats.
+func (n *network) addresses() []string { return slices.Sorted(maps.Keys(n.hosts)) }
+
 // run lets time pass in steps of the heartbeat interval.
 func (n *network) run(from time.Time, d time.Duration) time.Time {
 	now := from
 	for ; now.Before(from.Add(d)); now = now.Add(BeatInterval) {
-		for address, host := range n.hosts {
+		for _, address := range n.addresses() {
+			host := n.hosts[address]
 			if n.down[address] {
 				continue
 			}
-			for _, m := range host.Beats(now) {
+			for _, m := range host.Beats(now, fewSlots) {
 				n.deliver(now, host, m)
 			}
 		}
@@ -64,7 +73,7 @@
 func (n *network) deliver(now time.Time, from *Roster, m Message) {
 	said := from.Self()
 	if !m.Whole {
-		said = Beat{ID: said.ID, Incarnation: said.Incarnation, State: said.State, StoreLost: said.StoreLost}
+		said = Beat{ID: said.ID, Incarnation: said.Incarnation, State: said.State, StoreLost: said.StoreLost, Standby: said.Standby}
 	}
 	for _, to := range m.To {
 		receiver := n.hosts[to]
@@ -220,7 +229,7 @@
 	remote, introduced := 0, 0
 	for range intervals {
 		for _, host := range n.hosts {
-			for _, m := range host.Beats(now) {
+			for _, m := range host.Beats(now, fewSlots) {
 				if len(m.Introduced) > maxIntroduced {
 					t.Fatalf("%d hosts in one heartbeat", len(m.Introduced))
 				}
@@ -283,3 +292,61 @@
 		t.Errorf("%d entry hosts for more slots than all can carry, want all 24", len(got))
 	}
 }
+
+// Guards against heartbeats that grow with the square of the region, and
+// against hosts that stand by and disagree on the entry hosts, also after all
+// hosts that they listened to have ended.
+func TestLargeRegionBeatsLittleAndAgrees(t *testing.T) {
+	const each = 20
+	n := newNetwork(fleet(each), "p-west-a-0", "p-east-a-0")
+	now := n.run(start, 12*time.Second)
+	agree := func(what string, regions ...string) []Beat {
+		t.Helper()
+		var want []Beat
+		for _, host := range n.hosts {
+			if n.down[host.Self().PeerAddress] || !slices.Contains(regions, host.Self().Region) {
+				continue
+			}
+			got := host.EntriesFor(now, "west", fewSlots)
+			if want == nil {
+				want = got
+			}
+			if len(got) != minEntries || !maps.Equal(names(got), names(want)) {
+				t.Errorf("%s: %s chooses %v, another %v", what, host.Self().ID, names(got), names(want))
+			}
+		}
+		return want
+	}
+	agree("at rest", "west", "east")
+	const intervals = 24
+	sent := 0
+	for range intervals {
+		for _, address := range n.addresses() {
+			host := n.hosts[address]
+			for _, m := range host.Beats(now, fewSlots) {
+				sent += len(m.To)
+				n.deliver(now, host, m)
+			}
+		}
+		now = now.Add(BeatInterval)
+	}
+	// Of each region two entry hosts and two readers beat to 39 hosts, the
+	// others to these in one of three intervals; a tenth for other regions.
+	perInterval := 2 * (4*(2*each-1) + 2*each*4/standbyEvery)
+	if limit := intervals * perInterval * 11 / 10; sent > limit {
+		t.Errorf("%d heartbeats in %d intervals, want %d at most", sent, intervals, limit)
+	}
+	for _, host := range n.hosts {
+		if host.Self().Region == "west" && !host.Self().Standby {
+			n.down[host.Self().PeerAddress] = true
+		}
+	}
+	now = n.run(now, 4*time.Second)
+	for _, entry := range agree("after the loss of all active hosts", "west") {
+		if n.down[entry.PeerAddress] {
+			t.Errorf("%s ended 4 s ago and is an entry host", entry.ID)
+		}
+	}
+	now = n.run(now, 6*time.Second)
+	agree("later", "west", "east")
+}
