Look for the hosts of a cold server only when one is cold

Cause: with each change of the view, and twice a second, a host chose for every server the two hosts that share it while it is cold, by sorting all hosts anew.

Ruled out: the store client, heartbeats and placement; the last took 0.19 ms.

Change: only servers that are cold get a limit.

--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -114,14 +114,15 @@
 // noteCold takes a server's own word that it is cold.
 func (h *Host) noteCold(server string, left time.Duration) {
 	view := h.reader.View()
-	listed, ok := view.Servers[server]
-	if !ok {
+	if _, ok := view.Servers[server]; !ok {
 		return
 	}
 	h.Log.Emit(events.ServerCold, events.Server(model.ServerID(server)), events.Elapsed(left))
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.scheduler.SetCold(server, time.Now().Add(left), h.coldLimit(view, listed))
+	now := time.Now()
+	h.scheduler.SetCold(server, now.Add(left))
+	h.scheduler.LimitCold(now, func(id string) int { return h.coldLimit(view, view.Servers[id]) })
 }
 
 // unreachable takes a server out until a probe succeeds.
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -98,7 +98,6 @@
 // domain was taken back a moment ago.
 func (h *Host) applyCold(now time.Time, view *inventory.View) {
 	for id, server := range view.Servers {
-		limit := h.coldLimit(view, server)
 		until := time.Time{}
 		if server.ColdFor > 0 && h.backends[id] != nil {
 			until = h.backends[id].coldUntil(now, server)
@@ -108,8 +107,11 @@
 				until = later(until, released.Add(service.ColdStart))
 			}
 		}
-		h.scheduler.SetCold(id, until, limit)
+		if until.After(now) {
+			h.scheduler.SetCold(id, until)
+		}
 	}
+	h.scheduler.LimitCold(now, func(id string) int { return h.coldLimit(view, view.Servers[id]) })
 }
 
 // coldUntil counts from when an entry was first seen.
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -125,7 +125,8 @@
 // send it a few requests a second.
 func TestColdServerIsSparedInEveryWindow(t *testing.T) {
 	s := newScheduler(servers(1, 10))
-	s.SetCold("s0", start.Add(10*time.Second), 2)
+	s.SetCold("s0", start.Add(10*time.Second))
+	s.LimitCold(start, func(string) int { return 2 })
 	var sent []time.Time
 	for step := range 100 {
 		now := start.Add(time.Duration(step) * 50 * time.Millisecond)
@@ -261,7 +262,8 @@
 		s.Submit(start, newJob(start, "a", 0, time.Minute))
 	}
 	s.SetServers(list, 1)
-	s.SetCold("s1", start.Add(3*time.Second), 2)
+	s.SetCold("s1", start.Add(3*time.Second))
+	s.LimitCold(start, func(string) int { return 2 })
 	used := 0
 	for _, v := range s.Tick(start) {
 		if v.Server == "s1" {
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -261,17 +261,23 @@
 	}
 }
 
-// SetCold marks a server as cold until the given time. limit is the number of
-// requests per second that this host may send to it meanwhile.
-func (s *Scheduler) SetCold(id string, until time.Time, limit int) {
+// SetCold marks a server as cold until the given time. It gets no requests
+// before LimitCold.
+func (s *Scheduler) SetCold(id string, until time.Time) {
 	server := s.servers[id]
-	if server == nil {
-		return
-	}
-	if until.After(server.coldUntil) {
+	if server != nil && until.After(server.coldUntil) {
 		server.coldUntil = until
 	}
-	server.cold.limit = limit
+}
+
+// LimitCold sets the number of requests per second that this host may send to
+// each of the servers that are cold now.
+func (s *Scheduler) LimitCold(now time.Time, limitOf func(id string) int) {
+	for id, server := range s.servers {
+		if server.isCold(now) {
+			server.cold.limit = limitOf(id)
+		}
+	}
 }
 
 // Forget drops what was learned of a server that has started again.
