Log the whole story of a request at its end, and explain it from logs

Cause: the lines that say why a server was chosen were written at the debug level only, so a failed request had its end in the log and not its decisions; and nothing put together the lines of several hosts.

Ruled out: all lines of all requests. An ordinary request says nothing new.

Change: a request's lines are kept until it ends and written together: all for requests that failed or were sent again, and for one in a hundred of the others, chosen by ID so that the hosts agree.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -111,7 +111,7 @@
 		all = []string{"wisteriactl", "--author", "ana"}
 	}
 	for _, arg := range args {
-		if strings.HasSuffix(arg, ".ini") {
+		if strings.HasSuffix(arg, ".ini") || strings.HasSuffix(arg, ".log") {
 			arg = ts.MkAbs(arg)
 		}
 		all = append(all, arg)
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -15,14 +15,20 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "explain",
-		Usage:       "explain a result code (100-599) or a log event (from 1000)",
-		ArgsUsage:   "CODE",
-		Description: example("explain 305") + "\n   wisteriactl explain 1305",
-		Action:      explain,
+		Usage:       "explain a result code (100-599), a log event (from 1000) or one request by its log lines",
+		ArgsUsage:   "CODE | --request ID [FILE...]",
+		Description: example("explain 305") + "\n   wisteriactl explain 1305\n   wisteriactl explain --request 6e6febda48cfa645 west-1.log west-2.log",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "request", Usage: "ID of a request; its lines are read from the files, or from standard input"},
+		},
+		Action: explain,
 	}
 }
 
 func explain(_ context.Context, cmd *cli.Command) error {
+	if id := cmd.String("request"); id != "" {
+		return explainRequest(cmd, id)
+	}
 	argument, err := oneArgument(cmd)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/ctl/story.go
@@ -0,0 +1,185 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+	"github.com/urfave/cli/v3"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/operator"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// aroundRequest is how long before and after a request other events count as
+// its surroundings: a host takes a silent server out after about 2 s.
+const aroundRequest = 3 * time.Second
+
+// logLine is one line of a log.
+type logLine struct {
+	at     time.Time
+	host   string
+	name   string
+	fields map[string]string
+}
+
+// hidden fields are shown in other ways, or are the same on all lines.
+var hidden = []string{"time", "level", "msg", "event", "request", "host"}
+
+func (l logLine) String() string {
+	var shown []string
+	for _, key := range slices.Sorted(maps.Keys(l.fields)) {
+		if value := l.fields[key]; value != "" && !slices.Contains(hidden, key) {
+			if strings.ContainsAny(value, " =\"") {
+				value = strconv.Quote(value)
+			}
+			shown = append(shown, key+"="+value)
+		}
+	}
+	return l.host + " " + l.name + " " + strings.Join(shown, " ")
+}
+
+// explainRequest prints what the logs say of one request, over all hosts.
+func explainRequest(cmd *cli.Command, id string) error {
+	lines, err := readLogs(cmd.Root().Reader, cmd.Args().Slice())
+	if err != nil {
+		return err
+	}
+	var story []logLine
+	for _, l := range lines {
+		if l.fields["request"] == id {
+			story = append(story, l)
+		}
+	}
+	if len(story) == 0 {
+		return &operator.Problem{Code: result.NotFound, Detail: fmt.Sprintf("no line of request %q; ordinary requests are logged in part only, see docs/OPERATIONS.md", id)}
+	}
+	// A request's lines are written at its end and say how long after its
+	// arrival they happened.
+	last := story[len(story)-1]
+	arrival := last.at.Add(-last.elapsed())
+	w := cmd.Root().Writer
+	fmt.Fprintf(w, "request %s, arrived %s\n", id, arrival.UTC().Format(time.RFC3339Nano))
+	for _, l := range story {
+		fmt.Fprintf(w, "%10s  %s\n", offset(l.elapsed()), l)
+	}
+	printAround(w, lines, story, arrival)
+	printCode(w, last.fields["code"])
+	return nil
+}
+
+// printAround prints what the hosts of the story came to believe of the
+// servers in it, and of everything that is not about one server.
+func printAround(w io.Writer, lines, story []logLine, arrival time.Time) {
+	hosts, servers := make(map[string]bool), make(map[string]bool)
+	for _, l := range story {
+		hosts[l.host] = true
+		servers[l.fields["server"]] = true
+	}
+	end := story[len(story)-1].at
+	title := "around it:\n"
+	for _, l := range lines {
+		near := !l.at.Before(arrival.Add(-aroundRequest)) && !l.at.After(end.Add(aroundRequest))
+		about := l.fields["server"] == "" || servers[l.fields["server"]]
+		if l.fields["request"] != "" || !near || !about || !hosts[l.host] {
+			continue
+		}
+		fmt.Fprint(w, title)
+		title = ""
+		fmt.Fprintf(w, "%10s  %s\n", offset(l.at.Sub(arrival)), l)
+	}
+}
+
+func printCode(w io.Writer, text string) {
+	code, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return
+	}
+	if info, ok := result.Code(code).Info(); ok {
+		fmt.Fprintf(w, "code %d %s: %s\nWhat to do: %s\n", code, info.Name, info.Meaning, info.Action)
+	}
+}
+
+func offset(d time.Duration) string {
+	return fmt.Sprintf("%+.1f ms", float64(d)/float64(time.Millisecond))
+}
+
+func (l logLine) elapsed() time.Duration {
+	d, err := time.ParseDuration(l.fields["elapsed"])
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// readLogs returns the lines of all files in the order of their times.
+func readLogs(stdin io.Reader, files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return readLog(stdin, "standard input")
+	}
+	var all []logLine
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("read log: %w", err)
+		}
+		lines, err := readLog(f, name)
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	slices.SortStableFunc(all, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return all, nil
+}
+
+// maxLogLine bounds one line; reasons are far shorter.
+const maxLogLine = 1 << 20
+
+// readLog reads one log. Lines that are no event, such as those of other
+// programs, are left out. The host of lines that do not name it is the one that
+// was named last.
+func readLog(r io.Reader, name string) ([]logLine, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	host := name
+	var lines []logLine
+	for scanner.Scan() {
+		l, ok := parseLine(scanner.Bytes())
+		if !ok {
+			continue
+		}
+		if named := l.fields["host"]; named != "" {
+			host = named
+		}
+		l.host = host
+		lines = append(lines, l)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read log %s: %w", name, err)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return lines, nil
+}
+
+func parseLine(text []byte) (logLine, bool) {
+	l := logLine{fields: make(map[string]string)}
+	decoder := logfmt.NewDecoder(bytes.NewReader(text))
+	for decoder.ScanRecord() {
+		for decoder.ScanKeyval() {
+			l.fields[string(decoder.Key())] = string(decoder.Value())
+		}
+	}
+	at, err := time.Parse(time.RFC3339Nano, l.fields["time"])
+	l.at, l.name = at, l.fields["msg"]
+	return l, err == nil && decoder.Err() == nil
+}
--- a/internal/events/buffered.go
+++ b/internal/events/buffered.go
@@ -53,6 +53,9 @@
 	return len(p), nil
 }
 
+// congested reports whether half of the buffer is in use.
+func (b *Buffered) congested() bool { return 2*len(b.lines) >= cap(b.lines) }
+
 // Dropped returns the number of lines dropped since the last call.
 func (b *Buffered) Dropped() int { return int(b.dropped.Swap(0)) }
 
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -22,6 +22,7 @@
 // Log writes events. It is safe for concurrent use. A nil Log discards them.
 type Log struct {
 	logger *logrus.Logger
+	output io.Writer
 	now    func() time.Time
 
 	mu     sync.Mutex
@@ -41,7 +42,7 @@
 	logger.SetOutput(w)
 	logger.SetLevel(level)
 	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	l := &Log{logger: logger, now: now, events: make(map[ID]*limited, len(table))}
+	l := &Log{logger: logger, output: w, now: now, events: make(map[ID]*limited, len(table))}
 	for _, info := range table {
 		l.events[info.ID] = &limited{info: info, limiter: rate.NewLimiter(rate.Every(lineInterval), burst)}
 	}
@@ -89,6 +90,19 @@
 	l.logger.WithFields(values).Log(event.info.Level, event.info.Name)
 }
 
+// Details reports whether everything is logged.
+func (l *Log) Details() bool { return l != nil && l.logger.IsLevelEnabled(logrus.DebugLevel) }
+
+// Congested reports whether the output falls behind, so that lines of ordinary
+// outcomes are better left out.
+func (l *Log) Congested() bool {
+	if l == nil {
+		return false
+	}
+	buffered, ok := l.output.(*Buffered)
+	return ok && buffered.congested()
+}
+
 // admit counts a line against the rate limit of its event.
 func (l *Log) admit(id ID) (event *limited, dropped int, ok bool) {
 	event, known := l.events[id]
--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -146,10 +146,10 @@
 	{DomainEvacuated, logrus.InfoLevel, "domain-evacuated", fields(FieldDomain), "The servers of the failure domain get no new work."},
 	{DomainReleased, logrus.InfoLevel, "domain-released", fields(FieldDomain), "The servers of the failure domain get work again; they are taken for cold."},
 
-	{RequestGranted, logrus.DebugLevel, "request-granted", fields(FieldRequest, FieldService, FieldServer, FieldGeneration, FieldReason), "A backend server was chosen for a request; the reason has the key, the load and the expected time."},
-	{RequestResent, logrus.InfoLevel, "request-resent", fields(FieldRequest, FieldServer, FieldReason), "A request goes to another backend server after this failure."},
-	{RequestEnded, logrus.InfoLevel, "request-ended", fields(FieldRequest, FieldService, FieldServer, FieldCode, FieldGeneration, FieldElapsed, FieldReason), "A request got an answer other than success."},
-	{RequestServed, logrus.DebugLevel, "request-served", fields(FieldRequest, FieldService, FieldServer, FieldCode, FieldGeneration, FieldElapsed, FieldReason), "A request got its whole answer from a backend server."},
+	{RequestGranted, logrus.InfoLevel, "request-granted", fields(FieldHost, FieldRequest, FieldService, FieldServer, FieldGeneration, FieldElapsed, FieldReason), "A backend server was chosen for a request, this long after its arrival; the reason has the key, the load and the expected time."},
+	{RequestResent, logrus.InfoLevel, "request-resent", fields(FieldHost, FieldRequest, FieldServer, FieldElapsed, FieldReason), "A request goes to another backend server after this failure."},
+	{RequestEnded, logrus.InfoLevel, "request-ended", fields(FieldHost, FieldRequest, FieldService, FieldServer, FieldCode, FieldGeneration, FieldElapsed, FieldReason), "A request got an answer other than success."},
+	{RequestServed, logrus.InfoLevel, "request-served", fields(FieldHost, FieldRequest, FieldService, FieldServer, FieldCode, FieldGeneration, FieldElapsed, FieldReason), "A request got its whole answer from a backend server. Only resent requests and a sample are logged."},
 	{LinesDropped, logrus.WarnLevel, "lines-dropped", fields(FieldCount), "Log lines that were dropped because the output was not read fast enough."},
 
 	{StoreCallFailed, logrus.WarnLevel, "store-call-failed", fields(FieldSubject, FieldReason, FieldElapsed), "A call to the store failed; it is repeated with backoff."},
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -62,6 +62,7 @@
 	mayHaveRun bool
 	server     string
 	failure    string
+	story      story
 	// moved is set when an overdue attempt was ended for another server; the
 	// retry budget is paid for.
 	moved atomic.Bool
@@ -85,6 +86,7 @@
 		call.TimeLeft = defaultTimeLeft
 	}
 	r := &run{host: h, req: req, call: call, route: route, version: view.Config.Version}
+	r.story = newStory(h.Settings.ID, call.ID, req.Received)
 	r.deadline = req.Received.Add(call.TimeLeft)
 	r.giveUpAt = r.deadline
 	if limit := req.Received.Add(route.Timeout); route.Timeout > 0 && limit.Before(r.deadline) {
@@ -140,7 +142,9 @@
 		if !r.mayResend(ctx, failure) {
 			return r.failed(failure)
 		}
-		r.host.Log.Emit(events.RequestResent, events.Request(r.call.ID), events.Server(model.ServerID(verdict.Server)), events.Reason(failure.err))
+		r.story.add(events.RequestResent, func() []events.Field {
+			return []events.Field{events.Server(model.ServerID(verdict.Server)), events.Reason(failure.err)}
+		})
 	}
 }
 
@@ -195,8 +199,12 @@
 func (r *run) send(ctx context.Context, job *scheduler.Job, verdict scheduler.Verdict) (*callers.Answer, *attemptFailure) {
 	r.server = verdict.Server
 	r.tried = append(r.tried, verdict.Server)
-	r.host.Log.Emit(events.RequestGranted, events.Request(r.call.ID), events.Service(model.Service(r.service)),
-		events.Server(model.ServerID(verdict.Server)), events.Generation(model.Generation(r.version)), events.Reason(verdictReason(verdict)))
+	r.story.add(events.RequestGranted, func() []events.Field {
+		return []events.Field{
+			events.Service(model.Service(r.service)), events.Server(model.ServerID(verdict.Server)),
+			events.Generation(model.Generation(r.version)), events.Reason(verdictReason(verdict)),
+		}
+	})
 	ctx, cancel := r.attemptContext(ctx, verdict)
 	defer cancel()
 	answer, err := r.host.exchange(ctx, verdict.Server, r.upstreamRequest(verdict.Server))
@@ -396,13 +404,12 @@
 	took := time.Since(r.req.Received)
 	h.Metrics.CountResult(model.Service(r.service), rank, code)
 	h.Metrics.ObserveLatency(model.Service(r.service), rank, took)
-	id := events.RequestEnded
-	if code == result.Served {
-		id = events.RequestServed
-	}
-	h.Log.Emit(id, events.Request(r.call.ID), events.Service(model.Service(r.service)),
-		events.Server(model.ServerID(r.server)), events.Code(code), events.Generation(model.Generation(r.version)),
-		events.Elapsed(took), events.Reason(errors.New(strconv.Itoa(answer.Status)+" "+r.failure)))
+	r.story.end(h.Log, code == result.Served, func() []events.Field {
+		return []events.Field{
+			events.Service(model.Service(r.service)), events.Server(model.ServerID(r.server)), events.Code(code),
+			events.Generation(model.Generation(r.version)), events.Reason(errors.New(strconv.Itoa(answer.Status) + " " + r.failure)),
+		}
+	})
 }
 
 // refusal promises that the request has not run and never will.
--- /dev/null
+++ b/internal/host/story_test.go
@@ -0,0 +1,89 @@
+package host
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
+
+func tell(log *events.Log, id string, grants int, served bool) {
+	s := newStory("west-1", id, time.Now())
+	for i := range grants {
+		s.add(events.RequestGranted, func() []events.Field {
+			return []events.Field{events.Server(model.ServerID(fmt.Sprint("i-", i)))}
+		})
+	}
+	s.end(log, served, func() []events.Field { return nil })
+}
+
+// Guards against requests of which only a part is logged, failures without
+// their decisions, and a line for every ordinary request.
+func TestStoriesAreWholeOrAbsent(t *testing.T) {
+	const requests = 20 * sampleEvery
+	for _, c := range []struct {
+		what      string
+		level     logrus.Level
+		grants    int
+		served    bool
+		low, high int
+	}{
+		{"ordinary", logrus.InfoLevel, 1, true, requests / sampleEvery / 3, requests / sampleEvery * 3},
+		{"ordinary with details", logrus.DebugLevel, 1, true, requests, requests},
+		{"failed", logrus.InfoLevel, 1, false, requests, requests},
+		{"refused", logrus.InfoLevel, 0, false, requests, requests},
+		{"sent again", logrus.InfoLevel, 2, true, requests, requests},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			var out bytes.Buffer
+			log := events.New(&out, c.level, time.Now)
+			for i := range requests {
+				tell(log, fmt.Sprint("request-", i), c.grants, c.served)
+			}
+			lines := strings.Count(out.String(), "\n")
+			stories := strings.Count(out.String(), "request-ended") + strings.Count(out.String(), "request-served")
+			if stories < c.low || stories > c.high {
+				t.Errorf("%d of %d stories, want %d to %d", stories, requests, c.low, c.high)
+			}
+			if lines != stories*(c.grants+1) {
+				t.Errorf("%d lines of %d stories", lines, stories)
+			}
+			if !strings.Contains(out.String(), "host=west-1") {
+				t.Error("lines do not name the host")
+			}
+		})
+	}
+}
+
+// blocked is an output that nobody reads.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// Guards against sampled lines of ordinary requests that fill a log whose
+// output is not read, so that lines of failures are lost.
+func TestFailuresAreLoggedBeforeOrdinaryRequests(t *testing.T) {
+	const room = 100
+	output := blocked{release: make(chan struct{})}
+	buffered := events.NewBuffered(output, room)
+	log := events.New(buffered, logrus.InfoLevel, time.Now)
+	for i := range 100 * sampleEvery {
+		tell(log, fmt.Sprint("request-", i), 1, true)
+	}
+	for i := range room / 3 {
+		tell(log, fmt.Sprint("failed-", i), 0, false)
+	}
+	if n := buffered.Dropped(); n > 0 {
+		t.Errorf("%d lines were dropped", n)
+	}
+	close(output.release)
+}
