Register active hosts only, and read news of servers together

Cause: each host wrote its address to the store when it started and read those of all others, although the seeds had already made it known; and each change of a server, three for one that joins, cost a call of every reader.

Ruled out: one reader a region. A watch that is cut without a word would leave the region without news for its whole wait.

Change: only hosts that carry requests or read the store have an entry, which a stop removes; the entries are read by a host that has found no peer. After news of servers a reader waits 150 ms before its next watch. The start of a stop is logged with the host, and requests that a stop leaves unfinished with their number (the lines named a field that the table does not have).

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -16,6 +16,8 @@
 	SettingsReloaded ID = 1005
 	SettingsRefused  ID = 1006
 
+	RequestsUnfinished ID = 1007
+
 	ConfigInForce     ID = 1100
 	ConfigRefused     ID = 1101
 	ConfigFromPeers   ID = 1102
@@ -106,6 +108,8 @@
 	{DaemonFailed, logrus.ErrorLevel, "daemon-failed", fields(FieldHost, FieldReason), "The daemon ends because it cannot serve."},
 	{EventsDropped, logrus.WarnLevel, "events-dropped", fields(FieldCount), "Lines that the rate limit dropped and no later line reported."},
 
+	{RequestsUnfinished, logrus.WarnLevel, "requests-unfinished", fields(FieldHost, FieldCount), "The grace time of a stop ends while backend servers still have this many requests of the host."},
+
 	{SettingsReloaded, logrus.InfoLevel, "settings-reloaded", nil, "Changed settings are in force."},
 	{SettingsRefused, logrus.WarnLevel, "settings-refused", fields(FieldReason), "Changed settings, or a part of them, are not in force; the old ones stay."},
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 	"github.com/wisteriacrank/wisteriacrank/pkg/scheduler"
 )
@@ -181,7 +182,7 @@
 	group.Go(func() error { return h.servePeers(work) })
 	group.Go(func() error { h.reader.Run(work); return nil })
 	group.Go(func() error { h.maintain(work); return nil })
-	group.Go(func() error { h.register(work); return nil })
+	group.Go(func() error { h.register(ctx, work); return nil })
 	group.Go(func() error { return metrics.Serve(work, h.Settings.Listen.Metrics, h.Metrics) })
 	group.Go(func() error {
 		select {
@@ -201,7 +202,7 @@
 // stop lets callers leave and answers what they have sent.
 func (h *Host) stop(entry net.Listener) {
 	began := time.Now()
-	h.Log.Emit(events.DaemonStopping, events.Subject(h.Settings.ID))
+	h.Log.Emit(events.DaemonStopping, events.Host(model.HostID(h.Settings.ID)))
 	h.stops.Store(true)
 	h.entry.Drain()
 	h.announce()
@@ -210,7 +211,10 @@
 	_ = entry.Close()
 	h.entry.CloseIdle()
 	if !h.entry.Wait(limit - time.Since(began)) {
-		h.Log.Emit(events.DaemonStopping, events.Subject("requests unfinished"))
+		h.mu.Lock()
+		left := h.scheduler.Running()
+		h.mu.Unlock()
+		h.Log.Emit(events.RequestsUnfinished, events.Host(model.HostID(h.Settings.ID)), events.Count(left))
 	}
 }
 
--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
@@ -10,24 +9,11 @@
 
 	"github.com/wisteriacrank/wisteriacrank/internal/callers"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
-	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 )
 
 // maxAddresses bounds a look-up answer.
 const maxAddresses = 64
 
-// peerAddresses reads the entries of hosts; those that cannot be read are left out.
-func peerAddresses(listed inventory.Batch) []string {
-	var addresses []string
-	for _, o := range listed.Objects {
-		var entry hostObject
-		if err := json.Unmarshal(o.Body, &entry); err == nil && entry.PeerAddress != "" {
-			addresses = append(addresses, entry.PeerAddress)
-		}
-	}
-	return addresses
-}
-
 // serveLookup tells callers which hosts to use.
 func (h *Host) serveLookup(_ context.Context, req *callers.Request) callers.Answer {
 	lookup, ok := h.Protocol.DecodeLookup(req.Request)
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
-	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
@@ -18,13 +17,6 @@
 	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 )
 
-const (
-	// registerTries bounds the attempts to write this host's address to the
-	// store; without it, hosts are found through the seeds.
-	registerTries = 10
-	registerPause = 2 * time.Second
-)
-
 // servePeers exchanges heartbeats and answers peers until ctx ends.
 func (h *Host) servePeers(ctx context.Context) error {
 	socket, err := net.ListenPacket("udp4", h.Settings.Listen.Peers)
@@ -218,41 +210,3 @@
 		StoreLost:     b.GetStoreLost(),
 	}
 }
-
-// hostObject is this host's entry in the store.
-type hostObject struct {
-	PeerAddress string `json:"peer-address"`
-	Incarnation uint64 `json:"incarnation"`
-}
-
-// register writes this host's address to the store and reads those of others,
-// so that hosts find each other when all seeds are stale.
-func (h *Host) register(ctx context.Context) {
-	self := hostObject{PeerAddress: h.Settings.Listen.Peers, Incarnation: uint64(h.started.UnixMilli())}
-	for range registerTries {
-		if h.tryRegister(ctx, self) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(registerPause):
-		}
-	}
-}
-
-func (h *Host) tryRegister(ctx context.Context, self hostObject) bool {
-	if err := h.Store.Put(ctx, inventory.Hosts, h.Settings.ID, self); err != nil {
-		h.Log.Emit(events.StoreCallFailed, events.Subject("hosts/"+h.Settings.ID), events.Reason(err))
-		return false
-	}
-	listed, err := h.Store.ListOld(ctx, inventory.Hosts)
-	if err != nil {
-		h.Log.Emit(events.StoreCallFailed, events.Subject("hosts"), events.Reason(err))
-		return false
-	}
-	h.rosterMu.Lock()
-	defer h.rosterMu.Unlock()
-	h.roster.AddSeeds(peerAddresses(listed))
-	return true
-}
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -28,6 +28,10 @@
 	// roleInterval is the step in which a host looks whether it is to read the
 	// store; it bounds how late a new reader starts.
 	roleInterval = 200 * time.Millisecond
+	// newsPause is the time between news of the servers and the next watch, so
+	// that one call brings what changes together: each change costs a call of
+	// every reader, and a drain has to be in force within 2 s.
+	newsPause = 150 * time.Millisecond
 	// expireInterval is the step in which lapsed entries are removed.
 	expireInterval = 400 * time.Millisecond
 )
@@ -216,6 +220,9 @@
 		pause.reset()
 		r.fold(c, batch, r.state.Changes)
 		after = batch.Revision
+		if c == Servers && len(batch.Objects) > 0 {
+			sleep(ctx, newsPause)
+		}
 	}
 	return false
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -209,6 +209,15 @@
 	return append(r.EntriesFor(now, r.self.Region, slots), r.storeReaders(now, Beat.stays)...)
 }
 
+// IsActive reports whether this host carries requests, reads the store or speaks
+// to other regions.
+func (r *Roster) IsActive(now time.Time, slots int) bool {
+	return containsHost(r.active(now, slots), r.self.ID)
+}
+
+// IsAlone reports whether this host has heard of no other lately.
+func (r *Roster) IsAlone() bool { return len(r.members) == 0 }
+
 // fullBeat goes to the whole region.
 func (r *Roster) fullBeat(now time.Time, local []string, newcomer bool) Message {
 	near := Message{To: local}
