Open connections that find a silent peer in one package

Cause: the socket settings against silent peers stood in internal/backend and internal/upstream, and the store client had only a part of them. Two names misled (relist held cancel functions; sameParts was slices.Equal).

--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -8,14 +8,15 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/livedial"
 )
 
 const (
 	dialTimeout = time.Second
 	// The keepalive finds a lost peer on an idle connection within 3 s.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAlive      = time.Second
+	keepAliveCount = 2
 )
 
 // errSealed is returned for a write after the request was given up.
@@ -62,16 +63,12 @@
 }
 
 func (s *Server) dial(ctx context.Context) (*trackedConn, error) {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-		Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-	}
+	dialer := livedial.NewDialer(livedial.Limits{
+		Dial:           dialTimeout,
+		Unacknowledged: SilenceTimeout,
+		KeepAlive:      keepAlive,
+		KeepAliveCount: keepAliveCount,
+	})
 	conn, err := dialer.DialContext(ctx, "tcp", s.spec.Address)
 	s.noteDial(err)
 	if err != nil {
--- a/internal/host/budgets.go
+++ b/internal/host/budgets.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"slices"
+
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
 	"github.com/wisteriacrank/wisteriacrank/pkg/retrybudget"
 )
@@ -38,25 +40,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.splits[route.Name]
-	if s == nil || !sameParts(s.parts, route.Parts) {
+	if s == nil || !slices.Equal(s.parts, route.Parts) {
 		s = &splitter{parts: route.Parts, owed: make([]float64, len(route.Parts)), host: h}
 		h.splits[route.Name] = s
 	}
 	return s
 }
 
-func sameParts(a, b []fleet.Part) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // next returns the service that is owed most.
 func (s *splitter) next() string {
 	if len(s.parts) == 1 {
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -64,8 +64,8 @@
 	heardAt map[Collection]time.Time
 	// lostAt is when the first call failed of those that failed in a row.
 	lostAt time.Time
-	// relist has the collections whose watch is not trusted any more.
-	relist map[Collection]context.CancelFunc
+	// cancelWatch ends the watch of a collection that is not trusted any more.
+	cancelWatch map[Collection]context.CancelFunc
 
 	view     atomic.Pointer[View]
 	onView   func(*View)
@@ -87,8 +87,8 @@
 	r := &Reader{
 		source: source, log: log, now: now, role: role,
 		onView: on.View, onChange: on.Change,
-		relist:  make(map[Collection]context.CancelFunc),
-		heardAt: make(map[Collection]time.Time),
+		cancelWatch: make(map[Collection]context.CancelFunc),
+		heardAt:     make(map[Collection]time.Time),
 	}
 	r.state = NewState(decoder, r.skipped)
 	r.view.Store(r.state.View())
@@ -189,7 +189,7 @@
 	defer r.mu.Unlock()
 	for _, c := range Collections {
 		r.state.asOf[c] = 0
-		if cancel := r.relist[c]; cancel != nil && c != than {
+		if cancel := r.cancelWatch[c]; cancel != nil && c != than {
 			cancel()
 		}
 	}
@@ -246,7 +246,7 @@
 func (r *Reader) setCancel(c Collection, cancel context.CancelFunc) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.relist[c] = cancel
+	r.cancelWatch[c] = cancel
 }
 
 // fold takes what was read from the store, and passes it on.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,15 +5,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/wisteriacrank/wisteriacrank/internal/livedial"
 )
 
 const (
@@ -24,9 +21,8 @@
 	// bytes: open connections can go silent without a reset.
 	silenceTimeout = 1200 * time.Millisecond
 	// Keepalive finds a silent peer on a connection that waits for an answer.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAlive      = time.Second
+	keepAliveCount = 2
 	// defaultIdle is how long an idle connection is kept if the server does not
 	// say when it closes it; idleMargin is kept before that time.
 	defaultIdle = 8 * time.Second
@@ -190,29 +186,15 @@
 }
 
 func dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{
-		Timeout: DialTimeout,
-		Control: setUserTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-	}
+	dialer := livedial.NewDialer(livedial.Limits{
+		Dial:           DialTimeout,
+		Unacknowledged: silenceTimeout,
+		KeepAlive:      keepAlive,
+		KeepAliveCount: keepAliveCount,
+	})
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
 	return newConn(raw), nil
 }
-
-// setUserTimeout makes the kernel give up a connection whose sent bytes are
-// not acknowledged.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
