Choose the entry hosts that carry most where none are enough

Cause: where no number of hosts carried all slots of a region, all 40 of them were entry hosts: each beat to each and reported its use of the servers to 39 others, 25 times a second, and callers were spread over small hosts.

Change: the number of hosts that carries most is taken.

--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -34,8 +34,11 @@
 	// them having received it.
 	maxUnsent = 4
 	// silenceFactor times the expected time to the answer is waited before an
-	// idempotent request is sent to another server.
-	silenceFactor = 3
+	// idempotent request is sent to another server, and firstRunFactor times
+	// that of a first run where the server may not hold the object: first runs
+	// take three times as long, and one that is ended is made again elsewhere.
+	silenceFactor  = 3
+	firstRunFactor = 2
 	// overdueInterval is the step in which an overdue request is looked at again.
 	overdueInterval = 100 * time.Millisecond
 	// minSilence keeps short requests from being repeated on small delays.
@@ -231,7 +234,7 @@
 	if r.route.Kind != fleet.Idempotent || r.sends+1 >= r.route.MaxAttempts {
 		return ctx, cancel
 	}
-	overdue := max(silenceFactor*verdict.Expected, minSilence)
+	overdue := max(silenceFactor*verdict.Expected, firstRunFactor*verdict.Longest, minSilence)
 	again := r.job()
 	go func() {
 		for wait := overdue; sleepUnlessDone(ctx, wait); wait = overdueInterval {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -437,16 +437,18 @@
 
 // EntriesFor returns the hosts that carry the requests for so many server slots
 // of a region. Callers choose among them at random, so the one with the least
-// capacity decides how many there have to be. Callers on few hosts let each of
-// these see enough answers to know the load of the servers.
+// capacity decides how many there have to be; if no number is enough, those are
+// chosen that carry most. Callers on few hosts let each of these see enough
+// answers to know the load of the servers.
 func (r *Roster) EntriesFor(now time.Time, region string, slots int) []Beat {
 	ready := r.Entries(now, region, len(r.members)+1)
-	for n := minEntries; n < len(ready); n++ {
-		if n*ready[n-1].Capacity >= slots {
-			return ready[:n]
+	best, most := min(minEntries, len(ready)), 0
+	for n := max(best, 1); n <= len(ready) && most < slots; n++ {
+		if carried := n * ready[n-1].Capacity; carried > most {
+			best, most = n, carried
 		}
 	}
-	return ready
+	return ready[:best]
 }
 
 // spread chooses up to count hosts: those of the highest capacity first, and
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -288,8 +288,12 @@
 			}
 		}
 	}
-	if got := r.EntriesFor(start, "west", 1000); len(got) != 24 {
-		t.Errorf("%d entry hosts for more slots than all can carry, want all 24", len(got))
+	// Four large hosts carry 120 slots, all 24 hosts 120 as well.
+	if got := r.EntriesFor(start, "west", 1000); len(got) != 4 {
+		t.Errorf("%d entry hosts for more slots than any number can carry, want the 4 large ones", len(got))
+	}
+	if got := r.EntriesFor(start, "south", 10); len(got) != 0 {
+		t.Errorf("%d entry hosts of a region without hosts", len(got))
 	}
 }
 
--- a/pkg/scheduler/choice.go
+++ b/pkg/scheduler/choice.go
@@ -34,7 +34,10 @@
 	moves bool
 	// rank is the server's place in the object's order.
 	rank int
-	cost time.Duration
+	// longest is the time to the answer if the server does not hold the object
+	// although that is assumed.
+	longest time.Duration
+	cost    time.Duration
 }
 
 func (o option) total() time.Duration { return o.wait + o.net + o.service }
@@ -86,6 +89,7 @@
 	slowness := server.slowness(now)
 	o.service = time.Duration(float64(class.of(o.warm)) * slowness)
 	o.wait = server.wait(now, ahead)
+	o.longest = o.wait + o.net + time.Duration(float64(class.of(known))*slowness)
 	weighed := time.Duration(float64(class.of(o.warm && (!joins || o.moves))) * slowness)
 	failure := time.Duration(server.errors.get(now) * errorPenalty * float64(job.Target))
 	o.cost = o.wait + o.net + weighed + time.Duration(occupancyWeight*float64(weighed)) + failure + time.Duration(rank)*rankPenalty
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -95,6 +95,8 @@
 	RetryAfter time.Duration
 	// Expected is the time from now to the answer that the decision is based on.
 	Expected time.Duration
+	// Longest is the same if the server turns out not to hold the object.
+	Longest time.Duration
 	// Wait is the part of Expected that is spent in the server's queue.
 	Wait time.Duration
 	// Known says that the server was seen to hold the object's state.
@@ -266,6 +268,7 @@
 		Job:      job,
 		Server:   best.server.ID,
 		Expected: best.total(),
+		Longest:  best.longest,
 		Wait:     best.wait,
 		Known:    best.known,
 		Rank:     best.rank,
