--- a/internal/host/crash.go
+++ b/internal/host/crash.go
@@ -29,8 +29,12 @@
 	// maxTold bounds the changes in one heartbeat, so that it fits a datagram.
 	maxTold = 32
 	// verifyInterval is the least time between two checks whether a server
-	// still accepts connections.
-	verifyInterval = time.Second
+	// still accepts connections: a few requests.
+	verifyInterval = 200 * time.Millisecond
+	// verifyWait is how long a request whose connection was lost waits for the
+	// check, so that it is not sent on to crash another server: more than a
+	// round trip between regions.
+	verifyWait = 200 * time.Millisecond
 	// convictedRetryAfter is proposed to callers of a refused request.
 	convictedRetryAfter = 30 * time.Second
 )
@@ -185,7 +189,8 @@
 	}
 }
 
-// connectionLost looks whether the server that ran the request has crashed.
+// connectionLost looks whether the server that ran the request has crashed. It
+// returns when that is known, or after verifyWait.
 func (r *run) connectionLost() {
 	h := r.host
 	now := time.Now()
@@ -197,8 +202,17 @@
 		b.verifiedAt = now
 	}
 	h.mu.Unlock()
-	if due {
-		go h.verify(r.server, b)
+	if !due {
+		return
+	}
+	verified := make(chan struct{})
+	go func() {
+		defer close(verified)
+		h.verify(r.server, b)
+	}()
+	select {
+	case <-verified:
+	case <-time.After(verifyWait):
 	}
 }
 
