--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -222,7 +222,7 @@
 
 func (v verdictReason) Error() string {
 	return "class " + v.Job.Class + " object " + v.Job.Object.Key + " known " + strconv.FormatBool(v.Known) + " rank " + strconv.Itoa(v.Rank) +
-		" expected " + v.Expected.String() + " wait " + v.Wait.String() + " busy " + strconv.FormatFloat(v.Busy, 'f', 1, 64)
+		" expected " + v.Expected.String() + " longest " + v.Longest.String() + " wait " + v.Wait.String() + " busy " + strconv.FormatFloat(v.Busy, 'f', 1, 64)
 }
 
 // attemptContext ends an attempt of an idempotent request when its answer is
@@ -382,7 +382,7 @@
 		scheduler.QueueFull:         result.QueueFull,
 		scheduler.WouldMissDeadline: result.WouldMissDeadline,
 	}
-	return r.failed(&attemptFailure{err: errors.New(v.Refused.String()), notRun: true, code: codes[v.Refused], retryAfter: v.RetryAfter})
+	return r.failed(&attemptFailure{err: refusalReason(v), notRun: true, code: codes[v.Refused], retryAfter: v.RetryAfter})
 }
 
 // failed is the final answer to a request that no server answered with success.
@@ -400,6 +400,18 @@
 	}
 }
 
+// refusalReason says what a refusal is based on.
+type refusalReason scheduler.Verdict
+
+func (v refusalReason) Error() string {
+	text := v.Refused.String() + " retry after " + v.RetryAfter.String()
+	if v.Best == "" {
+		return text
+	}
+	left := time.Until(v.Job.GiveUpAt).Round(time.Millisecond)
+	return text + " left " + left.String() + " best " + v.Best + " " + verdictReason(v).Error()
+}
+
 // finish counts and logs the end of a request.
 func (r *run) finish(answer callers.Answer, code result.Code) {
 	h := r.host
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -89,7 +89,9 @@
 type Verdict struct {
 	Job *Job
 	// Server may be used until Done is called. It is empty if the job is refused.
-	Server  string
+	Server string
+	// Best is the server that was best; a refused job is refused because of it.
+	Best    string
 	Refused Reason
 	// RetryAfter is when a refused caller may come back with a better chance.
 	RetryAfter time.Duration
@@ -255,7 +257,13 @@
 			Job:        job,
 			Refused:    WouldMissDeadline,
 			RetryAfter: min(max(best.wait, MinRetryAfter), maxRetryAfter),
+			Best:       best.server.ID,
 			Expected:   best.total(),
+			Longest:    best.longest,
+			Wait:       best.wait,
+			Known:      best.known,
+			Rank:       best.rank,
+			Busy:       best.server.busy(now),
 		}, true
 	}
 	if !best.server.hasRoom(now) {
@@ -267,6 +275,7 @@
 	return Verdict{
 		Job:      job,
 		Server:   best.server.ID,
+		Best:     best.server.ID,
 		Expected: best.total(),
 		Longest:  best.longest,
 		Wait:     best.wait,
