Keep a slot of each server for requests with short targets

The order of the waiting requests does not help once all slots run.

Ruled out: preemption. Servers know only a closed connection, and a request that runs at most once cannot be taken back.

Change: while jobs with a target of at most half of its own were submitted to the service in the last 5 s, a job leaves one slot of each server free. make bench plays the scheduler of entry hosts against servers with and without the object, in a steady load, a flood, with servers lost and added, beside two ways that it replaced: the object's one server, and the least busy of three.

--- a/internal/bench/command.go
+++ b/internal/bench/command.go
@@ -34,7 +34,11 @@
 			if err := WriteTable(os.Stdout, results); err != nil {
 				return fmt.Errorf("print table: %w", err)
 			}
-			return writeJSON(cmd.String("out"), results)
+			hosts := runHosts(uint64(cmd.Int64("seed")), cmd.String("scenario"), cmd.String("policy"))
+			if err := WriteHostTable(os.Stdout, hosts); err != nil {
+				return fmt.Errorf("print table of hosts: %w", err)
+			}
+			return writeJSON(cmd.String("out"), figures{Dispatchers: results, Hosts: hosts})
 		},
 	}
 }
@@ -63,7 +67,26 @@
 	return results, group.Wait()
 }
 
-func writeJSON(path string, results []RunResult) error {
+// runHosts runs every combination of host scenarios and policies.
+func runHosts(seed uint64, scenario, policy string) []HostResult {
+	var results []HostResult
+	for _, s := range HostScenarios() {
+		for _, p := range HostPolicies() {
+			if strings.Contains(s.Name, scenario) && (policy == "" || policy == p.Name) {
+				results = append(results, RunHost(s, p, seed))
+			}
+		}
+	}
+	return results
+}
+
+// figures is the content of the file with all figures.
+type figures struct {
+	Dispatchers []RunResult  `json:"dispatchers"`
+	Hosts       []HostResult `json:"hosts"`
+}
+
+func writeJSON(path string, results figures) error {
 	text, err := json.MarshalIndent(results, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode figures: %w", err)
--- /dev/null
+++ b/internal/bench/host_result.go
@@ -0,0 +1,79 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// HostClassResult is what the callers of one class, or of one region, got.
+type HostClassResult struct {
+	Class  string `json:"class,omitempty"`
+	Asked  int    `json:"asked"`
+	InAim  int    `json:"in_aim"`
+	Late   int    `json:"late"`
+	Failed int    `json:"failed"`
+	// Refused requests did not run.
+	Refused int `json:"refused"`
+}
+
+func (r *HostClassResult) count(end hostOutcome, inAim, inTime bool) {
+	switch {
+	case end == hostRefused:
+		r.Refused++
+	case end == hostFailed || !inTime:
+		r.Failed++
+	case inAim:
+		r.InAim++
+	default:
+		r.Late++
+	}
+}
+
+// Share is the part of the requests that were answered within their target.
+func (r *HostClassResult) Share() float64 {
+	if r.Asked == 0 {
+		return 0
+	}
+	return float64(r.InAim) / float64(r.Asked)
+}
+
+// HostResult is one run of a host scenario.
+type HostResult struct {
+	Scenario string            `json:"scenario"`
+	Policy   string            `json:"policy"`
+	Classes  []HostClassResult `json:"classes"`
+	// WorstRegion is the lowest share of a region's requests within target.
+	WorstRegion float64 `json:"worst_region"`
+}
+
+// RunHost plays one host scenario under a policy.
+func RunHost(scenario HostScenario, policy HostPolicy, seed uint64) HostResult {
+	w := newHostWorld(scenario, policy, seed)
+	w.play()
+	result := HostResult{Scenario: scenario.Name, Policy: policy.Name, WorstRegion: 1}
+	for _, class := range hostClasses() {
+		result.Classes = append(result.Classes, *w.results[class.name])
+	}
+	for _, region := range w.regions {
+		result.WorstRegion = min(result.WorstRegion, region.Share())
+	}
+	return result
+}
+
+// WriteHostTable prints one line for each run.
+func WriteHostTable(out io.Writer, results []HostResult) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "scenario\tpolicy\tin target: check\tpurchase\thistory\tworst region\trefused\tfailed")
+	for _, r := range results {
+		refused, failed := 0, 0
+		fmt.Fprintf(table, "%s\t%s", r.Scenario, r.Policy)
+		for _, c := range r.Classes {
+			fmt.Fprintf(table, "\t%.3f", c.Share())
+			refused += c.Refused
+			failed += c.Failed
+		}
+		fmt.Fprintf(table, "\t%.3f\t%d\t%d\n", r.WorstRegion, refused, failed)
+	}
+	return table.Flush()
+}
--- a/pkg/scheduler/choice.go
+++ b/pkg/scheduler/choice.go
@@ -49,7 +49,7 @@
 	candidates := s.candidates(now, svc, job)
 	held := job.Sticky && slices.ContainsFunc(candidates, func(server *server) bool { return server.holds(now, job.Object.Key) })
 	for rank, server := range candidates {
-		o := s.weigh(now, job, server, rank, ahead[server], held)
+		o := s.weigh(now, job, server, rank, ahead[server]+svc.reserved(now, job), held)
 		if !found || o.cost < best.cost {
 			best, found = o, true
 		}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -122,6 +122,8 @@
 type service struct {
 	view    *placement.View
 	waiting []*Job
+	// hurried has when a job of each target latency was last submitted.
+	hurried map[time.Duration]time.Time
 }
 
 // New returns a scheduler of a host in the region.
@@ -139,6 +141,7 @@
 func (s *Scheduler) Submit(now time.Time, job *Job) []Verdict {
 	svc := s.service(job.Service)
 	job.arrived = now
+	svc.hurried[job.Target] = now
 	if len(svc.waiting) >= maxWaiting {
 		return []Verdict{{Job: job, Refused: QueueFull, RetryAfter: maxRetryAfter}}
 	}
@@ -150,7 +153,7 @@
 // answer in time.
 func (s *Scheduler) CanStart(now time.Time, job *Job) bool {
 	best, ok := s.best(now, s.service(job.Service), job, nil)
-	return ok && best.server.hasRoom(now) && !now.Add(best.total()).After(job.GiveUpAt)
+	return ok && best.server.hasRoom(now, s.service(job.Service).reserved(now, job)) && !now.Add(best.total()).After(job.GiveUpAt)
 }
 
 // Cancel removes a waiting job whose caller has left.
@@ -190,7 +193,7 @@
 func (s *Scheduler) service(name string) *service {
 	svc := s.services[name]
 	if svc == nil {
-		svc = &service{view: placement.NewView(nil, 1)}
+		svc = &service{view: placement.NewView(nil, 1), hurried: make(map[time.Duration]time.Time)}
 		s.services[name] = svc
 	}
 	return svc
@@ -266,7 +269,7 @@
 			Busy:       best.server.busy(now),
 		}, true
 	}
-	if !best.server.hasRoom(now) {
+	if !best.server.hasRoom(now, svc.reserved(now, job)) {
 		ahead[best.server]++
 		return Verdict{}, false
 	}
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -123,10 +123,11 @@
 	return sum
 }
 
-// hasRoom allows no more requests than slots: a request that waits at the host
-// can still go elsewhere, and urgent ones pass it.
-func (s *server) hasRoom(now time.Time) bool {
-	return s.busy(now) < float64(s.Slots)
+// hasRoom allows no more requests than slots, less those that are reserved for
+// others: a request that waits at the host can still go elsewhere, and urgent
+// ones pass it.
+func (s *server) hasRoom(now time.Time, reserved int) bool {
+	return s.busy(now) < float64(max(s.Slots-reserved, 1))
 }
 
 // wait is the expected time until a slot is free for a request with ahead
