Suspect requests only of servers that refuse connections

Cause, found on reading the change: a host that is cut off from its servers loses their connections, and its checks fail, so the objects that many callers ask for could be convicted and refused for five minutes, and heartbeats would tell the others.

Ruled out: a reference server that still answers. A cut that takes a third of the servers leaves one.

Change: only a server that refuses connections has crashed; one that is silent is cut off or without power. A conviction lasts a minute. A request that will not be sent on does not wait for the check of its server, but is answered at once. Records of lost connections are dropped with their time, not only at the next crash.

--- a/internal/host/crash.go
+++ b/internal/host/crash.go
@@ -9,6 +9,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/quarantine"
 )
@@ -19,8 +20,9 @@
 	// request sooner.
 	suspectFor = 20 * time.Second
 	// convictedFor is how long a request that crashed two servers is refused.
-	// Callers resend within their time limit, which is seconds.
-	convictedFor = 5 * time.Minute
+	// Callers resend within their time limit, which is seconds; two crashes that
+	// only met by chance cost no more than this.
+	convictedFor = time.Minute
 	// maxSuspects bounds the table to about 200 KB.
 	maxSuspects = 1000
 	// tellSuspectFor is how long a change is repeated to peers: several
@@ -88,8 +90,8 @@
 	return g.blame(h, now)
 }
 
-// crashed notes that a server does not accept connections any more, and
-// returns the new standings of the requests that it ran.
+// crashed notes that a server's process has ended, and returns the new standings
+// of the requests that it ran.
 func (g *crashGuard) crashed(server string, now time.Time) []quarantine.Standing {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -189,8 +191,8 @@
 	}
 }
 
-// connectionLost looks whether the server that ran the request has crashed. It
-// returns when that is known, or after verifyWait.
+// connectionLost looks whether the server that ran the request has crashed. If
+// the request may be sent on, it returns when that is known, or after verifyWait.
 func (r *run) connectionLost() {
 	h := r.host
 	now := time.Now()
@@ -210,6 +212,9 @@
 		defer close(verified)
 		h.verify(r.server, b)
 	}()
+	if r.route.Kind != fleet.Idempotent || r.sends >= r.route.MaxAttempts {
+		return
+	}
 	select {
 	case <-verified:
 	case <-time.After(verifyWait):
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
@@ -138,7 +139,10 @@
 		return
 	}
 	h.Log.Emit(events.ServerUnreachable, events.Server(model.ServerID(server)), events.Address(b.address), events.Reason(cause))
-	h.suspected(server, h.crashes.crashed(server, time.Now())...)
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		// A process has ended. One that is cut off, or without power, is silent.
+		h.suspected(server, h.crashes.crashed(server, time.Now())...)
+	}
 	go h.probeUntilUp(server, b)
 }
 
--- a/pkg/quarantine/losses.go
+++ b/pkg/quarantine/losses.go
@@ -31,6 +31,7 @@
 	if at, ok := l.crashed[server]; ok && now.Sub(at) < lossWindow {
 		return true
 	}
+	l.forget(now)
 	l.lost[server] = append(l.recent(server, now), loss{hash: h, at: now})
 	return false
 }
