Log what a host comes to believe of configuration, domains, servers and peers

Change: each new view is compared with the one before, and each heartbeat with the hosts that were live at the last one; what differs is one line.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -30,6 +30,8 @@
 	HostSuspected    ID = 1201
 	HostDead         ID = 1202
 	SuspicionRefuted ID = 1203
+	PeerSeen         ID = 1204
+	PeerSilent       ID = 1205
 
 	ServerTaken       ID = 1300
 	ServerHandedOver  ID = 1301
@@ -125,6 +127,8 @@
 	{HostSuspected, logrus.WarnLevel, "host-suspected", fields(FieldHost, FieldRegion, FieldPeer), "A host answered no probe."},
 	{HostDead, logrus.WarnLevel, "host-dead", fields(FieldHost, FieldRegion), "A suspected host did not refute in time."},
 	{SuspicionRefuted, logrus.InfoLevel, "suspicion-refuted", fields(FieldHost, FieldIncarnation), "A suspected host proved that it is alive."},
+	{PeerSeen, logrus.InfoLevel, "peer-seen", fields(FieldPeer, FieldAddress), "A host of the region was heard for the first time, or again after a silence."},
+	{PeerSilent, logrus.WarnLevel, "peer-silent", fields(FieldPeer), "A host of the region has not been heard for as long as its heartbeats may be late, or has left."},
 
 	{ServerTaken, logrus.InfoLevel, "server-taken", fields(FieldServer, FieldService), "This host now dispatches to the backend server."},
 	{ServerHandedOver, logrus.InfoLevel, "server-handed-over", fields(FieldServer, FieldService), "Another host now dispatches to the backend server."},
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -77,6 +77,11 @@
 	crashes   *crashGuard
 	splits    map[string]*splitter
 
+	// viewed is the view that was applied last.
+	viewed *inventory.View
+	// peers belongs to the goroutine that sends heartbeats.
+	peers peerLog
+
 	// rosterMu is taken after mu and after the reader's own lock, never before.
 	rosterMu sync.Mutex
 	roster   *roster.Roster
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -64,6 +64,7 @@
 	defer tick.Stop()
 	for {
 		h.sendBeats(socket)
+		h.logPeers(time.Now())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/host/story_test.go
+++ b/internal/host/story_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -87,3 +89,19 @@
 	}
 	close(output.release)
 }
+
+// BenchmarkStory measures what the log lines of one request cost: ordinary
+// requests, of which one in a hundred is written, and requests that are written.
+func BenchmarkStory(b *testing.B) {
+	for _, c := range []struct {
+		what   string
+		served bool
+	}{{"ordinary", true}, {"written", false}} {
+		b.Run(c.what, func(b *testing.B) {
+			log := events.New(io.Discard, logrus.InfoLevel, time.Now)
+			for i := range b.N {
+				tell(log, strconv.Itoa(i), 1, c.served)
+			}
+		})
+	}
+}
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -48,6 +48,8 @@
 		})
 		slots += server.Slots
 	}
+	logChanges(h.Log, h.viewed, view)
+	h.viewed = view
 	h.slots.Store(int64(slots))
 	h.untrack(view)
 	h.scheduler.SetServers(now, listed, h.regionCount())
