--- a/internal/ctl/story.go
+++ b/internal/ctl/trace.go
@@ -53,38 +53,38 @@
 	if err != nil {
 		return err
 	}
-	var story []logLine
+	var trace []logLine
 	for _, l := range lines {
 		if l.fields["request"] == id {
-			story = append(story, l)
+			trace = append(trace, l)
 		}
 	}
-	if len(story) == 0 {
+	if len(trace) == 0 {
 		return &operator.Problem{Code: result.NotFound, Detail: fmt.Sprintf("no line of request %q; ordinary requests are logged in part only, see docs/OPERATIONS.md", id)}
 	}
 	// A request's lines are written at its end and say how long after its
 	// arrival they happened.
-	last := story[len(story)-1]
+	last := trace[len(trace)-1]
 	arrival := last.at.Add(-last.elapsed())
 	w := cmd.Root().Writer
 	fmt.Fprintf(w, "request %s, arrived %s\n", id, arrival.UTC().Format(time.RFC3339Nano))
-	for _, l := range story {
+	for _, l := range trace {
 		fmt.Fprintf(w, "%10s  %s\n", offset(l.elapsed()), l)
 	}
-	printAround(w, lines, story, arrival)
+	printAround(w, lines, trace, arrival)
 	printCode(w, last.fields["code"])
 	return nil
 }
 
-// printAround prints what the hosts of the story came to believe of the
+// printAround prints what the hosts of the trace came to believe of the
 // servers in it, and of everything that is not about one server.
-func printAround(w io.Writer, lines, story []logLine, arrival time.Time) {
+func printAround(w io.Writer, lines, trace []logLine, arrival time.Time) {
 	hosts, servers := make(map[string]bool), make(map[string]bool)
-	for _, l := range story {
+	for _, l := range trace {
 		hosts[l.host] = true
 		servers[l.fields["server"]] = true
 	}
-	end := story[len(story)-1].at
+	end := trace[len(trace)-1].at
 	title := "around it:\n"
 	for _, l := range lines {
 		near := !l.at.Before(arrival.Add(-aroundRequest)) && !l.at.After(end.Add(aroundRequest))
--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -95,7 +95,7 @@
 	Meaning string
 }
 
-// perRequest reports whether the event is one line of a request's story, which
+// perRequest reports whether the event is one line of a request's trace, which
 // is logged whole or not at all.
 func (i Info) perRequest() bool {
 	return i.ID >= RequestGranted && i.ID <= RequestServed && i.ID != LinesDropped || i.ID == StoreRead
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -65,7 +65,7 @@
 	mayHaveRun bool
 	server     string
 	failure    string
-	story      story
+	trace      trace
 	// moved is set when an overdue attempt was ended for another server; the
 	// retry budget is paid for.
 	moved atomic.Bool
@@ -89,7 +89,7 @@
 		call.TimeLeft = defaultTimeLeft
 	}
 	r := &run{host: h, req: req, call: call, route: route, version: view.Config.Version}
-	r.story = newStory(h.Settings.ID, call.ID, req.Received)
+	r.trace = newTrace(h.Settings.ID, call.ID, req.Received)
 	r.deadline = req.Received.Add(call.TimeLeft)
 	r.giveUpAt = r.deadline
 	if limit := req.Received.Add(route.Timeout); route.Timeout > 0 && limit.Before(r.deadline) {
@@ -145,7 +145,7 @@
 		if !r.mayResend(ctx, failure) {
 			return r.failed(failure)
 		}
-		r.story.add(events.RequestResent, func() []events.Field {
+		r.trace.add(events.RequestResent, func() []events.Field {
 			return []events.Field{events.Server(model.ServerID(verdict.Server)), events.Reason(failure.err)}
 		})
 	}
@@ -202,7 +202,7 @@
 func (r *run) send(ctx context.Context, job *scheduler.Job, verdict scheduler.Verdict) (*callers.Answer, *attemptFailure) {
 	r.server = verdict.Server
 	r.tried = append(r.tried, verdict.Server)
-	r.story.add(events.RequestGranted, func() []events.Field {
+	r.trace.add(events.RequestGranted, func() []events.Field {
 		return []events.Field{
 			events.Service(model.Service(r.service)), events.Server(model.ServerID(verdict.Server)),
 			events.Generation(model.Generation(r.version)), events.Reason(verdictReason(verdict)),
@@ -419,7 +419,7 @@
 	took := time.Since(r.req.Received)
 	h.Metrics.CountResult(model.Service(r.service), rank, code)
 	h.Metrics.ObserveLatency(model.Service(r.service), rank, took)
-	r.story.end(h.Log, code == result.Served, func() []events.Field {
+	r.trace.end(h.Log, code == result.Served, func() []events.Field {
 		return []events.Field{
 			events.Service(model.Service(r.service)), events.Server(model.ServerID(r.server)), events.Code(code),
 			events.Generation(model.Generation(r.version)), events.Reason(errors.New(strconv.Itoa(answer.Status) + " " + r.failure)),
--- a/internal/host/story.go
+++ b/internal/host/trace.go
@@ -13,11 +13,11 @@
 // 100 requests per second is one a second, which costs no measurable time.
 const sampleEvery = 100
 
-// story holds the log lines of one request until its end, when all or none of
+// trace holds the log lines of one request until its end, when all or none of
 // them are written: all for requests that failed or were sent again, and for a
 // sample of the others that is the same on every host. It is used by one
 // goroutine.
-type story struct {
+type trace struct {
 	host, request string
 	received      time.Time
 	steps         []step
@@ -30,30 +30,30 @@
 	fields  func() []events.Field
 }
 
-func newStory(host, request string, received time.Time) story {
-	return story{host: host, request: request, received: received}
+func newTrace(host, request string, received time.Time) trace {
+	return trace{host: host, request: request, received: received}
 }
 
-func (s *story) add(id events.ID, fields func() []events.Field) {
-	s.steps = append(s.steps, step{id: id, elapsed: time.Since(s.received), fields: fields})
+func (t *trace) add(id events.ID, fields func() []events.Field) {
+	t.steps = append(t.steps, step{id: id, elapsed: time.Since(t.received), fields: fields})
 }
 
-// end adds the last line and writes the story if it is wanted.
-func (s *story) end(log *events.Log, served bool, fields func() []events.Field) {
+// end adds the last line and writes the trace if it is wanted.
+func (t *trace) end(log *events.Log, served bool, fields func() []events.Field) {
 	id := events.RequestEnded
 	if served {
 		id = events.RequestServed
 	}
 	const ordinarySteps = 1 // one server, which answered
-	ordinary := served && len(s.steps) <= ordinarySteps
-	if ordinary && !log.Details() && (!s.isSampled() || log.Congested()) {
+	ordinary := served && len(t.steps) <= ordinarySteps
+	if ordinary && !log.Details() && (!t.isSampled() || log.Congested()) {
 		return
 	}
-	s.add(id, fields)
-	for _, one := range s.steps {
-		line := []events.Field{events.Host(model.HostID(s.host)), events.Request(s.request), events.Elapsed(one.elapsed)}
+	t.add(id, fields)
+	for _, one := range t.steps {
+		line := []events.Field{events.Host(model.HostID(t.host)), events.Request(t.request), events.Elapsed(one.elapsed)}
 		log.Emit(one.id, append(line, one.fields()...)...)
 	}
 }
 
-func (s *story) isSampled() bool { return xxhash.Sum64String(s.request)%sampleEvery == 0 }
+func (t *trace) isSampled() bool { return xxhash.Sum64String(t.request)%sampleEvery == 0 }
--- a/internal/host/story_test.go
+++ b/internal/host/trace_test.go
@@ -16,18 +16,18 @@
 )
 
 func tell(log *events.Log, id string, grants int, served bool) {
-	s := newStory("west-1", id, time.Now())
+	tr := newTrace("west-1", id, time.Now())
 	for i := range grants {
-		s.add(events.RequestGranted, func() []events.Field {
+		tr.add(events.RequestGranted, func() []events.Field {
 			return []events.Field{events.Server(model.ServerID(fmt.Sprint("i-", i)))}
 		})
 	}
-	s.end(log, served, func() []events.Field { return nil })
+	tr.end(log, served, func() []events.Field { return nil })
 }
 
 // Guards against requests of which only a part is logged, failures without
 // their decisions, and a line for every ordinary request.
-func TestStoriesAreWholeOrAbsent(t *testing.T) {
+func TestTracesAreWholeOrAbsent(t *testing.T) {
 	const requests = 20 * sampleEvery
 	for _, c := range []struct {
 		what      string
@@ -49,12 +49,12 @@
 				tell(log, fmt.Sprint("request-", i), c.grants, c.served)
 			}
 			lines := strings.Count(out.String(), "\n")
-			stories := strings.Count(out.String(), "request-ended") + strings.Count(out.String(), "request-served")
-			if stories < c.low || stories > c.high {
-				t.Errorf("%d of %d stories, want %d to %d", stories, requests, c.low, c.high)
+			traces := strings.Count(out.String(), "request-ended") + strings.Count(out.String(), "request-served")
+			if traces < c.low || traces > c.high {
+				t.Errorf("%d of %d traces, want %d to %d", traces, requests, c.low, c.high)
 			}
-			if lines != stories*(c.grants+1) {
-				t.Errorf("%d lines of %d stories", lines, stories)
+			if lines != traces*(c.grants+1) {
+				t.Errorf("%d lines of %d traces", lines, traces)
 			}
 			if !strings.Contains(out.String(), "host=west-1") {
 				t.Error("lines do not name the host")
@@ -90,9 +90,9 @@
 	close(output.release)
 }
 
-// BenchmarkStory measures what the log lines of one request cost: ordinary
+// BenchmarkTrace measures what the log lines of one request cost: ordinary
 // requests, of which one in a hundred is written, and requests that are written.
-func BenchmarkStory(b *testing.B) {
+func BenchmarkTrace(b *testing.B) {
 	for _, c := range []struct {
 		what   string
 		served bool
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -122,8 +122,8 @@
 type service struct {
 	view    *placement.View
 	waiting []*Job
-	// hurried has when a job of each target latency was last submitted.
-	hurried map[time.Duration]time.Time
+	// submitted has when a job of each target latency was last submitted.
+	submitted map[time.Duration]time.Time
 }
 
 // New returns a scheduler of a host in the region.
@@ -141,7 +141,7 @@
 func (s *Scheduler) Submit(now time.Time, job *Job) []Verdict {
 	svc := s.service(job.Service)
 	job.arrived = now
-	svc.hurried[job.Target] = now
+	svc.submitted[job.Target] = now
 	if len(svc.waiting) >= maxWaiting {
 		return []Verdict{{Job: job, Refused: QueueFull, RetryAfter: maxRetryAfter}}
 	}
@@ -193,7 +193,7 @@
 func (s *Scheduler) service(name string) *service {
 	svc := s.services[name]
 	if svc == nil {
-		svc = &service{view: placement.NewView(nil, 1), hurried: make(map[time.Duration]time.Time)}
+		svc = &service{view: placement.NewView(nil, 1), submitted: make(map[time.Duration]time.Time)}
 		s.services[name] = svc
 	}
 	return svc
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -356,16 +356,16 @@
 // Guards against a flood of requests that run for seconds and have long targets,
 // and that take every slot before those with short ones (host-flood of make
 // bench: checks in target 0.665), and against slots that stay free for nobody.
-func TestPatientJobsLeaveASlot(t *testing.T) {
+func TestJobsWithLooseTargetsLeaveASlot(t *testing.T) {
 	const slots = 3
-	patient := func(now time.Time) *Job {
+	loose := func(now time.Time) *Job {
 		job := newJob(now, "history", 2, time.Minute)
 		job.Class, job.Target = "history", 3*time.Second
 		return job
 	}
 	s := newScheduler(servers(1, slots))
 	for i := range slots {
-		job := patient(start)
+		job := loose(start)
 		if granted(s.Submit(start, job), job) == "" {
 			t.Fatalf("slot %d stays free although nobody else asks", i+1)
 		}
@@ -376,17 +376,17 @@
 	s.Done(start.Add(200*time.Millisecond), first, Answered, nil)
 	now := start.Add(time.Second)
 	for i := range slots {
-		job := patient(now)
+		job := loose(now)
 		if got := granted(s.Submit(now, job), job); (got != "") != (i < slots-reservedSlots) {
 			t.Errorf("job %d of a flood: server %q", i+1, got)
 		}
 	}
-	hurried := newJob(now, "a", 0, time.Minute)
-	if granted(s.Submit(now, hurried), hurried) == "" {
-		t.Error("a hurried job found no slot during the flood")
+	tight := newJob(now, "a", 0, time.Minute)
+	if granted(s.Submit(now, tight), tight) == "" {
+		t.Error("a job with a tight target found no slot during the flood")
 	}
-	s.Done(now.Add(200*time.Millisecond), hurried, Answered, nil)
-	if verdicts := s.Tick(now.Add(hurriedFor + time.Second)); len(verdicts) != 1 || verdicts[0].Server == "" {
-		t.Errorf("verdicts %+v after the last hurried job, want the slot for the one that waits", verdicts)
+	s.Done(now.Add(200*time.Millisecond), tight, Answered, nil)
+	if verdicts := s.Tick(now.Add(reserveFor + time.Second)); len(verdicts) != 1 || verdicts[0].Server == "" {
+		t.Errorf("verdicts %+v after the last job with a tight target, want the slot for the one that waits", verdicts)
 	}
 }
