Log who reads the store, when it is lost, and who sent a configuration

A reader that the store does not answer writes nothing until a watch ends, its replacement left no line, and event 1100 did not say whether a version came from the store, by a push or from a peer that was asked.

Change: events 1408 and 1409 for the role of a reader, 1410 for the loss of the store as peers are told, and the sender in event 1100. No decision is changed.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -71,6 +71,9 @@
 	EntrySkipped     ID = 1405
 	StateFromPeer    ID = 1406
 	StoreRead        ID = 1407
+	StoreReaderBegan ID = 1408
+	StoreReaderEnded ID = 1409
+	StoreLost        ID = 1410
 
 	PromotionAccepted ID = 1500
 	PromotionRefused  ID = 1501
@@ -115,7 +118,7 @@
 	{SettingsReloaded, logrus.InfoLevel, "settings-reloaded", nil, "Changed settings are in force."},
 	{SettingsRefused, logrus.WarnLevel, "settings-refused", fields(FieldReason), "Changed settings, or a part of them, are not in force; the old ones stay."},
 
-	{ConfigInForce, logrus.InfoLevel, "config-in-force", fields(FieldEnvironment, FieldGeneration, FieldElapsed), "A generation of the document is in force on this host."},
+	{ConfigInForce, logrus.InfoLevel, "config-in-force", fields(FieldEnvironment, FieldGeneration, FieldElapsed, FieldPeer), "A generation of the document is in force on this host. On the users' platform the peer is the one that sent it; there is none if the host read it from the store."},
 	{ConfigRefused, logrus.ErrorLevel, "config-refused", fields(FieldEnvironment, FieldGeneration, FieldReason), "A generation was not put in force; the previous one stays."},
 	{ConfigFromPeers, logrus.WarnLevel, "config-from-peers", fields(FieldGeneration, FieldCount), "The store is down; the host started with the highest generation of its peers."},
 	{ConfigRepaired, logrus.InfoLevel, "config-repaired", fields(FieldGeneration, FieldPeer), "The host had missed a generation and pulled it."},
@@ -167,6 +170,9 @@
 	{StateFromPeer, logrus.InfoLevel, "state-from-peer", fields(FieldSubject, FieldPeer, FieldCount), "A collection of the store was taken from a peer that knew more of it."},
 	{StoreRead, logrus.DebugLevel, "store-read", fields(FieldSubject, FieldCount, FieldGeneration), "A call to the store was answered with this many objects; the generation is the store's revision."},
 	{EntrySkipped, logrus.WarnLevel, "entry-skipped", fields(FieldSubject, FieldReason), "An entry of the store cannot be read and is left out; the others hold."},
+	{StoreReaderBegan, logrus.InfoLevel, "store-reader-began", nil, "The host reads the store itself from now on, and tells its peers."},
+	{StoreReaderEnded, logrus.InfoLevel, "store-reader-ended", nil, "The host leaves reading the store to its peers."},
+	{StoreLost, logrus.WarnLevel, "store-lost", fields(FieldElapsed), "The store has not answered for this long; peers are told to read it instead."},
 	{HostListStale, logrus.WarnLevel, "host-list-stale", fields(FieldElapsed), "The platform's host list could not be read for this long."},
 
 	{PromotionAccepted, logrus.InfoLevel, "promotion-accepted", fields(FieldEnvironment, FieldGeneration, FieldAuthor), "A document was written to the store."},
--- a/internal/host/beliefs.go
+++ b/internal/host/beliefs.go
@@ -14,7 +14,7 @@
 // servers that come and go, which are logged with their connections.
 func logChanges(log *events.Log, before, after *inventory.View) {
 	if after.Config != nil && (before == nil || before.Config != after.Config) {
-		log.Emit(events.ConfigInForce, events.Generation(model.Generation(after.Config.Version)))
+		log.Emit(events.ConfigInForce, inForce(after)...)
 	}
 	if before == nil {
 		before = &inventory.View{}
@@ -36,6 +36,14 @@
 	}
 }
 
+func inForce(view *inventory.View) []events.Field {
+	fields := []events.Field{events.Generation(model.Generation(view.Config.Version))}
+	if view.Sender != "" {
+		fields = append(fields, events.Peer(view.Sender))
+	}
+	return fields
+}
+
 // peerLog remembers the hosts of the region that were live.
 type peerLog struct{ live map[string]bool }
 
--- a/internal/host/beliefs_test.go
+++ b/internal/host/beliefs_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,6 +58,17 @@
 	}
 }
 
+// Guards against a line that does not tell a version read from the store from
+// one that a peer sent.
+func TestSenderOfAConfigurationIsLogged(t *testing.T) {
+	view := &inventory.View{Config: fleet.NewConfig(1, nil, nil, fleet.Limits{}), Sender: "west-2"}
+	var out bytes.Buffer
+	logChanges(events.New(&out, logrus.InfoLevel, time.Now), nil, view)
+	if !strings.Contains(out.String(), "peer=west-2") {
+		t.Errorf("%q does not name the sender", out.String())
+	}
+}
+
 // Guards against hosts that come and go without a line.
 func TestPeersAreLoggedAsTheyComeAndGo(t *testing.T) {
 	self := roster.Beat{ID: "me", Region: "west"}
--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -122,7 +122,7 @@
 		for _, o := range pushed.GetObjects() {
 			change.Objects = append(change.Objects, objectFromWire(o))
 		}
-		if !h.reader.Pushed(change) {
+		if !h.reader.Pushed(change, message.GetSelf().GetId()) {
 			h.Metrics.Add("pushes_out_of_order", 1)
 		}
 	}
@@ -218,7 +218,7 @@
 			batch.Objects = append(batch.Objects, objectFromWire(o))
 		}
 		c := inventory.Collection(snapshot.GetCollection())
-		h.reader.Adopt(c, batch)
+		h.reader.Adopt(c, batch, address)
 		h.Log.Emit(events.StateFromPeer, events.Subject(c.String()), events.Peer(address), events.Count(len(batch.Objects)))
 	}
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -75,6 +75,9 @@
 type View struct {
 	// Config is nil until one is known.
 	Config *fleet.Config
+	// Sender is the peer that sent the latest change; empty if this host read it
+	// from the store.
+	Sender string
 	// Servers are the listed servers, draining ones included.
 	Servers map[string]fleet.BackendServer
 	// Evacuated are the failure domains that get no requests.
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -109,6 +109,10 @@
 func (r *Reader) StoreLost() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.storeLost()
+}
+
+func (r *Reader) storeLost() bool {
 	return !r.lostAt.IsZero() && r.now().Sub(r.lostAt) >= lostAfter
 }
 
@@ -126,6 +130,7 @@
 		wg.Go(func() { r.follow(ctx, c) })
 	}
 	wg.Go(func() { r.expire(ctx) })
+	wg.Go(func() { r.observe(ctx) })
 	wg.Wait()
 }
 
@@ -146,8 +151,45 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state.Expire(r.now()) {
-		r.publish()
+		r.publish("")
+	}
+}
+
+// observe logs when the role of this host and its access to the store change.
+func (r *Reader) observe(ctx context.Context) {
+	tick := time.NewTicker(roleInterval)
+	defer tick.Stop()
+	reading, lost := false, false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			reading = r.logRole(reading)
+			lost = r.logLoss(lost)
+		}
+	}
+}
+
+func (r *Reader) logRole(before bool) (reading bool) {
+	reading = r.role(r.now())
+	switch {
+	case reading && !before:
+		r.log.Emit(events.StoreReaderBegan)
+	case !reading && before:
+		r.log.Emit(events.StoreReaderEnded)
+	}
+	return reading
+}
+
+func (r *Reader) logLoss(before bool) (lost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lost = r.storeLost()
+	if lost && !before {
+		r.log.Emit(events.StoreLost, events.Elapsed(r.now().Sub(r.lostAt)))
 	}
+	return lost
 }
 
 // Regained notes that the store is back for the hosts that read it.
@@ -260,25 +302,25 @@
 	if r.state.Mark(c).Digest == before.Digest {
 		return
 	}
-	r.publish()
+	r.publish("")
 	r.onChange(Change{Collection: c, Before: before, AsOf: batch.Revision, Objects: batch.Objects})
 }
 
 // Adopt takes over a collection as a peer holds it.
-func (r *Reader) Adopt(c Collection, batch Batch) {
+func (r *Reader) Adopt(c Collection, batch Batch, sender string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.state.Mark(c)
 	r.heardAt[c] = r.now()
 	r.state.Listing(r.now(), c, batch)
 	if r.state.Mark(c).Digest != before.Digest {
-		r.publish()
+		r.publish(sender)
 	}
 }
 
 // Pushed applies a change that a peer has read. It reports whether the change
 // fits what this host knows.
-func (r *Reader) Pushed(change Change) bool {
+func (r *Reader) Pushed(change Change, sender string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.state.Mark(change.Collection)
@@ -287,7 +329,7 @@
 	}
 	r.heardAt[change.Collection] = r.now()
 	r.state.Changes(r.now(), change.Collection, Batch{Objects: change.Objects, Revision: change.AsOf})
-	r.publish()
+	r.publish(sender)
 	return true
 }
 
@@ -320,8 +362,9 @@
 }
 
 // publish is called with the lock held.
-func (r *Reader) publish() {
+func (r *Reader) publish(sender string) {
 	view := r.state.View()
+	view.Sender = sender
 	r.view.Store(view)
 	r.onView(view)
 }
