--- /dev/null
+++ b/internal/inventory/reader_test.go
@@ -0,0 +1,243 @@
+package inventory
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/events"
+)
+
+// configBound is the time within which a confirmed change has to be in force.
+const configBound = 2 * time.Second
+
+// Time limits of the calls, as a client of the store has them.
+const (
+	listTimeout  = 2500 * time.Millisecond
+	watchWait    = 5 * time.Second
+	watchTimeout = 6 * time.Second
+	callLatency  = 5 * time.Millisecond
+)
+
+// faultyStore is a Source that can fall silent: calls that wait at that moment
+// are never answered, also not after its return.
+type faultyStore struct {
+	mu       sync.Mutex
+	config   Object
+	revision uint64
+	silent   bool
+	// epoch counts the times that the store fell silent.
+	epoch   int
+	changed chan struct{}
+	calls   int
+}
+
+func newFaultyStore() *faultyStore {
+	s := &faultyStore{changed: make(chan struct{})}
+	s.put("v1")
+	return s
+}
+
+func (s *faultyStore) put(config string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.config = object("main", s.revision, config)
+	s.wake()
+}
+
+func (s *faultyStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	if silent {
+		s.epoch++
+	}
+	s.wake()
+}
+
+func (s *faultyStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *faultyStore) made() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// answered blocks a call for good if the store is silent or was since epoch.
+func (s *faultyStore) answered(ctx context.Context, epoch int) error {
+	s.mu.Lock()
+	lost := s.silent || s.epoch != epoch
+	s.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return ErrUnavailable
+	}
+	return nil
+}
+
+func (s *faultyStore) begin() (epoch int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.epoch
+}
+
+// List implements Source.
+func (s *faultyStore) List(ctx context.Context, c Collection) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	epoch := s.begin()
+	sleep(ctx, callLatency)
+	if err := s.answered(ctx, epoch); err != nil {
+		return Batch{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := Batch{Revision: s.revision}
+	if c == Configuration {
+		batch.Objects = []Object{s.config}
+	}
+	return batch, nil
+}
+
+// Watch implements Source.
+func (s *faultyStore) Watch(ctx context.Context, c Collection, after uint64) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	epoch := s.begin()
+	end := time.After(watchWait)
+	for waited := false; ; {
+		sleep(ctx, callLatency)
+		if err := s.answered(ctx, epoch); err != nil {
+			return Batch{}, err
+		}
+		s.mu.Lock()
+		batch, changed := Batch{Revision: s.revision}, s.changed
+		if c == Configuration && s.config.Revision > after {
+			batch.Objects = []Object{s.config}
+		}
+		s.mu.Unlock()
+		if waited || len(batch.Objects) > 0 {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			waited = true
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Probe answers whether the store serves this host.
+func (s *faultyStore) Probe(ctx context.Context) error {
+	epoch := s.begin()
+	sleep(ctx, callLatency)
+	return s.answered(ctx, epoch)
+}
+
+// runReader runs a reader in the bubble of the test until it ends.
+func runReader(t *testing.T, store *faultyStore, role Role) *Reader {
+	ctx, cancel := context.WithCancel(t.Context())
+	r := NewReader(store, words{}, events.New(io.Discard, logrus.ErrorLevel, time.Now), time.Now, role,
+		Callbacks{View: func(*View) {}, Change: func(Change) {}})
+	var running sync.WaitGroup
+	running.Go(func() { r.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	time.Sleep(time.Second)
+	return r
+}
+
+func always(time.Time) bool { return true }
+
+func version(r *Reader) uint64 { return r.View().Config.Version }
+
+// Guards against a reader that takes a silent store for one without changes, so
+// that nobody replaces it before a change is due.
+func TestSilentStoreIsLostBeforeAChangeIsDue(t *testing.T) {
+	// The silence begins at different phases of the watches.
+	for _, phase := range []time.Duration{0, 900 * time.Millisecond, 2300 * time.Millisecond, 4900 * time.Millisecond} {
+		t.Run(phase.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFaultyStore()
+				r := runReader(t, store, always)
+				time.Sleep(phase)
+				store.setSilent(true)
+				time.Sleep(configBound - 500*time.Millisecond)
+				if !r.StoreLost() {
+					t.Error("the silent store is not lost 0.5 s before a change is due")
+				}
+			})
+		})
+	}
+}
+
+// Guards against watches that wait on a connection which died in an outage,
+// while another call says that the store is back.
+func TestChangeAfterASilentOutageIsReadInTime(t *testing.T) {
+	for _, outage := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 9 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFaultyStore()
+				r := runReader(t, store, always)
+				store.setSilent(true)
+				time.Sleep(outage)
+				store.setSilent(false)
+				store.put("v2")
+				time.Sleep(configBound)
+				if got := version(r); got != 2 {
+					t.Errorf("version %d is in force %v after the change", got, configBound)
+				}
+				store.put("v3")
+				time.Sleep(configBound)
+				if got := version(r); got != 3 {
+					t.Errorf("version %d is in force %v after the second change", got, configBound)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a host that replaced a reader, was turned away and is never
+// tried again, because only hosts that read learn that the store is back.
+func TestHostThatLostTheStoreLearnsOfItsReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFaultyStore()
+		var mu sync.Mutex
+		reads := true
+		r := runReader(t, store, func(time.Time) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return reads
+		})
+		store.setSilent(true)
+		time.Sleep(watchTimeout + 2*time.Second)
+		mu.Lock()
+		reads = false
+		mu.Unlock()
+		store.setSilent(false)
+		time.Sleep(2 * configBound)
+		if r.StoreLost() {
+			t.Error("the store is still lost for a host that does not read it")
+		}
+		before := store.made()
+		time.Sleep(time.Minute)
+		if made := store.made() - before; made != 0 {
+			t.Errorf("%d calls of a host that does not read the store", made)
+		}
+	})
+}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -220,6 +220,30 @@
 	}
 }
 
+// Guards against replacements that are turned away one after the other while a
+// change is due: both readers and three more hosts of a region lose the store.
+func TestSecondRoundOfReadersReachesTheStore(t *testing.T) {
+	for _, perDomain := range []int{3, 4, 20} {
+		n := newNetwork(fleet(perDomain), "p-west-a-0")
+		now := n.run(start, 8*time.Second)
+		near := slices.DeleteFunc(n.hosts["p-west-a-0"].Live(now), func(b Beat) bool { return b.Region != "west" })
+		turnedAway := names(spread("west/store", near, 5))
+		served := false
+		for range 2 {
+			for _, host := range n.hosts {
+				if self := host.Self(); self.Region == "west" && host.IsReader(now) {
+					host.SetState(Ready, turnedAway[self.ID])
+					served = served || !turnedAway[self.ID]
+				}
+			}
+			now = n.run(now, 4*BeatInterval)
+		}
+		if !served {
+			t.Errorf("%d hosts a region: the store serves none of two rounds of readers", 2*perDomain)
+		}
+	}
+}
+
 // Guards against heartbeats that grow with the fleet: only a few hosts speak to
 // other regions, and few beats carry introductions.
 func TestBeatsStaySmall(t *testing.T) {
