Prove the path to the store by probes, and end the watches when it is lost

Callers saw 404 on routes of a confirmed configuration, and requests handled by an older one, 2.1 to 2.5 s after the change.

Cause: a reader took a watch that says nothing for a store without changes. A silent store showed only as the end of a watch that had waited for its time and a second more, up to 7 s later; until then nobody replaced the reader. After the outage the first answer to any call made the reader say that the store was back, and its replacements stopped, while its other watches still waited on dead connections. A replacement that had been turned away made no more calls, so it counted as turned away for good. The class: absence of news taken for news of absence.

A reader that got no answer for 0.4 s probes the store with a call of a tenth of the price; one that waits for 0.5 s, or three times a slow store's answer, loses the store at once, ends every watch and tells its peers. Calls are made only with a proven path, so an outage costs probes only; a host that has lost the store probes on whatever its role. An answer to a probe does not hide calls that fail. Watches may now be as late as any other call, since their end is no longer what shows a silent store.

Why it works: 0.4 s and 0.5 s, and at most 0.2 s until a replacement looks at its role, leave 0.9 s of the 2 s for reading and pushing.

Ruled out: shorter watches alone (three collections of six readers at 1 s are 18 calls a second for a loss that shows after 2 s), and TCP keep-alive, which these connections answer.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -63,6 +63,8 @@
 	List(ctx context.Context, c Collection) (Batch, error)
 	// Watch returns when there are changes after the revision, or none for long.
 	Watch(ctx context.Context, c Collection, after uint64) (Batch, error)
+	// Probe returns nil if the store serves this host. It is cheap.
+	Probe(ctx context.Context) error
 }
 
 // Decoder turns the bodies of objects into the types of the product.
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -22,11 +22,8 @@
 	// shortOutage is what a single failed call costs; longer ones let entries
 	// of living servers lapse.
 	shortOutage = 1200 * time.Millisecond
-	// lostAfter is how long calls have to fail before peers are told to read
-	// the store instead.
-	lostAfter = 300 * time.Millisecond
 	// roleInterval is the step in which a host looks whether it is to read the
-	// store; it bounds how late a new reader starts.
+	// store and whether the store serves it; it bounds how late a reader starts.
 	roleInterval = 200 * time.Millisecond
 	// newsPause is the time between news of the servers and the next watch, so
 	// that one call brings what changes together: each change costs a call of
@@ -62,31 +59,40 @@
 	state *State
 	// heardAt is when a collection was last known to be up to date.
 	heardAt map[Collection]time.Time
-	// lostAt is when the first call failed of those that failed in a row.
-	lostAt time.Time
+	path    *path
+	// proven is closed, and replaced, when a probe is answered.
+	proven chan struct{}
+	// reading and lost are the role and the judgement that were logged.
+	reading, lost bool
 	// cancelWatch ends the watch of a collection that is not trusted any more.
 	cancelWatch map[Collection]context.CancelFunc
 
 	view     atomic.Pointer[View]
 	onView   func(*View)
 	onChange func(Change)
+	onLost   func()
 	calls    atomic.Int64
 	failures atomic.Int64
 }
 
-// Callbacks are called one at a time, in the order of the changes.
+// Callbacks are called one at a time, View and Change in the order of the changes
+// and with the reader locked.
 type Callbacks struct {
 	// View gets each new view.
 	View func(*View)
 	// Change gets what this host has read from the store, to pass it on.
 	Change func(Change)
+	// Lost is called when StoreLost changes.
+	Lost func()
 }
 
 // NewReader returns a reader that is not running yet.
 func NewReader(source Source, decoder Decoder, log *events.Log, now func() time.Time, role Role, on Callbacks) *Reader {
 	r := &Reader{
 		source: source, log: log, now: now, role: role,
-		onView: on.View, onChange: on.Change,
+		onView: on.View, onChange: on.Change, onLost: on.Lost,
+		path:        newPath(),
+		proven:      make(chan struct{}),
 		cancelWatch: make(map[Collection]context.CancelFunc),
 		heardAt:     make(map[Collection]time.Time),
 	}
@@ -109,11 +115,30 @@
 func (r *Reader) StoreLost() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.storeLost()
+	return r.path.isLost(r.now())
 }
 
-func (r *Reader) storeLost() bool {
-	return !r.lostAt.IsZero() && r.now().Sub(r.lostAt) >= lostAfter
+// mayCall reports whether this host may call the store for a collection that it
+// holds for revision asOf. Calls wait for the answer to a probe, which costs less,
+// unless the host knows nothing yet.
+func (r *Reader) mayCall(asOf uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isWorthACall(asOf)
+}
+
+func (r *Reader) isWorthACall(asOf uint64) bool {
+	if asOf == 0 {
+		return !r.path.isSilent()
+	}
+	return r.path.isProven(r.now())
+}
+
+// pathProven returns a channel that is closed when the next probe is answered.
+func (r *Reader) pathProven() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proven
 }
 
 // Mark returns the mark of a collection.
@@ -130,7 +155,7 @@
 		wg.Go(func() { r.follow(ctx, c) })
 	}
 	wg.Go(func() { r.expire(ctx) })
-	wg.Go(func() { r.observe(ctx) })
+	wg.Go(func() { r.supervise(ctx) })
 	wg.Wait()
 }
 
@@ -155,41 +180,112 @@
 	}
 }
 
-// observe logs when the role of this host and its access to the store change.
-func (r *Reader) observe(ctx context.Context) {
-	tick := time.NewTicker(roleInterval)
-	defer tick.Stop()
-	reading, lost := false, false
+// supervise follows the role of this host, and proves by probes that the store
+// serves it while it reads, or until it is back. Watches end when the role ends
+// or the store is lost: one that has met a dead connection would wait for good.
+func (r *Reader) supervise(ctx context.Context) {
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
-			reading = r.logRole(reading)
-			lost = r.logLoss(lost)
+		case <-timer.C:
+		}
+		reading := r.role(r.now())
+		r.settle(reading)
+		if began, due := r.beginProbe(); due {
+			probes.Go(func() { r.probe(ctx, began) })
 		}
+		timer.Reset(r.untilNextStep())
 	}
 }
 
-func (r *Reader) logRole(before bool) (reading bool) {
-	reading = r.role(r.now())
+// settle brings watches, log and peers in line with the role and the path.
+func (r *Reader) settle(reading bool) {
+	r.mu.Lock()
+	now := r.now()
+	r.path.check(now)
+	lost := r.path.isLost(now)
+	changed := lost != r.lost
+	if !reading || changed && lost {
+		r.cancelWatches()
+	}
+	r.logRole(reading)
+	if changed && lost {
+		r.log.Emit(events.StoreLost, events.Elapsed(now.Sub(r.path.lostSince())))
+	}
+	r.reading, r.lost = reading, lost
+	r.mu.Unlock()
+	if changed {
+		r.onLost()
+	}
+}
+
+func (r *Reader) logRole(reading bool) {
 	switch {
-	case reading && !before:
+	case reading && !r.reading:
 		r.log.Emit(events.StoreReaderBegan)
-	case !reading && before:
+	case !reading && r.reading:
 		r.log.Emit(events.StoreReaderEnded)
 	}
-	return reading
 }
 
-func (r *Reader) logLoss(before bool) (lost bool) {
+// beginProbe notes a probe if one is due. Hosts that neither read the store nor
+// have lost it need no proof.
+func (r *Reader) beginProbe() (began time.Time, due bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	at, ok := r.path.nextProbe()
+	if !ok || now.Before(at) || !r.needsProof() {
+		return time.Time{}, false
+	}
+	r.path.probeBegan(now)
+	return now, true
+}
+
+func (r *Reader) needsProof() bool { return r.reading || !r.path.lostSince().IsZero() }
+
+func (r *Reader) untilNextStep() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lost = r.storeLost()
-	if lost && !before {
-		r.log.Emit(events.StoreLost, events.Elapsed(r.now().Sub(r.lostAt)))
+	now := r.now()
+	next := now.Add(roleInterval)
+	if r.needsProof() {
+		next = r.path.nextStep(next)
+	}
+	return next.Sub(now)
+}
+
+func (r *Reader) probe(ctx context.Context, began time.Time) {
+	r.calls.Add(1)
+	limited, cancel := context.WithTimeout(ctx, maxPatience)
+	err := r.source.Probe(limited)
+	cancel()
+	if ctx.Err() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.back(r.path.probeEnded(r.now(), began, err, r.reading))
+	if err != nil {
+		r.failures.Add(1)
+		return
+	}
+	close(r.proven)
+	r.proven = make(chan struct{})
+}
+
+// back notes that the store is back after an outage. It is called with the lock
+// held.
+func (r *Reader) back(outage time.Duration) {
+	if outage > shortOutage {
+		r.state.Regained(r.now())
+		r.log.Emit(events.StoreReached, events.Elapsed(outage))
 	}
-	return lost
 }
 
 // Regained notes that the store is back for the hosts that read it.
@@ -203,11 +299,15 @@
 func (r *Reader) follow(ctx context.Context, c Collection) {
 	pause := newPause()
 	for ctx.Err() == nil {
-		after := r.Mark(c).AsOf
+		after, proven := r.Mark(c).AsOf, r.pathProven()
 		if after > 0 && !r.role(r.now()) {
 			sleep(ctx, roleInterval)
 			continue
 		}
+		if !r.mayCall(after) {
+			waitFor(ctx, proven, roleInterval)
+			continue
+		}
 		if after == 0 {
 			batch, err := r.source.List(ctx, c)
 			if !r.note(ctx, c, err) {
@@ -237,16 +337,25 @@
 	}
 }
 
-// watch returns when the role of this host ends, or with historyGone.
+// cancelWatches is called with the lock held.
+func (r *Reader) cancelWatches() {
+	for _, cancel := range r.cancelWatch {
+		cancel()
+	}
+}
+
+// watch returns when the role of this host ends, when the store is lost, or with
+// historyGone.
 func (r *Reader) watch(ctx context.Context, c Collection, after uint64, pause *pause) (historyGone bool) {
 	for ctx.Err() == nil && r.role(r.now()) {
 		watchCtx, cancel := context.WithCancel(ctx)
-		r.setCancel(c, cancel)
-		stopped := r.endWithRole(watchCtx, cancel)
+		if !r.beginWatch(c, after, cancel) {
+			cancel()
+			return false
+		}
 		batch, err := r.source.Watch(watchCtx, c, after)
 		interrupted := watchCtx.Err() != nil
 		cancel()
-		<-stopped
 		if interrupted {
 			return false
 		}
@@ -269,26 +378,16 @@
 	return false
 }
 
-// endWithRole cancels a watch when another host has taken over.
-func (r *Reader) endWithRole(ctx context.Context, cancel context.CancelFunc) <-chan struct{} {
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for ctx.Err() == nil {
-			sleep(ctx, roleInterval)
-			if !r.role(r.now()) {
-				cancel()
-				return
-			}
-		}
-	}()
-	return stopped
-}
-
-func (r *Reader) setCancel(c Collection, cancel context.CancelFunc) {
+// beginWatch registers a watch, to be ended when the store is lost. It reports
+// whether the watch may be made.
+func (r *Reader) beginWatch(c Collection, after uint64, cancel context.CancelFunc) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.isWorthACall(after) {
+		return false
+	}
 	r.cancelWatch[c] = cancel
+	return true
 }
 
 // fold takes what was read from the store, and passes it on.
@@ -369,11 +468,15 @@
 	r.onView(view)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) { waitFor(ctx, nil, d) }
+
+// waitFor waits until the channel is closed, at most for d.
+func waitFor(ctx context.Context, event <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-event:
 	case <-timer.C:
 	}
 }
@@ -389,30 +492,24 @@
 	now := r.now()
 	if err != nil {
 		r.failures.Add(1)
-		if r.lostAt.IsZero() {
-			r.lostAt = now
-		}
-		r.log.Emit(events.StoreCallFailed, events.Subject(c.String()), events.Reason(err), events.Elapsed(now.Sub(r.lostAt)))
+		r.path.failed(now)
+		r.log.Emit(events.StoreCallFailed, events.Subject(c.String()), events.Reason(err), events.Elapsed(now.Sub(r.path.lostSince())))
 		return false
 	}
-	if !r.lostAt.IsZero() {
-		if outage := now.Sub(r.lostAt); outage > shortOutage {
-			r.state.Regained(now)
-			r.log.Emit(events.StoreReached, events.Elapsed(outage))
-		}
-		r.lostAt = time.Time{}
-	}
+	r.back(r.path.answered(now))
 	return true
 }
 
 // pause waits between failed calls.
 type pause struct{ policy *backoff.ExponentialBackOff }
 
-func newPause() *pause {
+func newPause() *pause { return &pause{policy: newBackoff()} }
+
+func newBackoff() *backoff.ExponentialBackOff {
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval = firstRetry
 	policy.MaxInterval = maxRetry
-	return &pause{policy: policy}
+	return policy
 }
 
 func (p *pause) reset() { p.policy.Reset() }
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -20,8 +20,9 @@
 const (
 	listTimeout  = 2500 * time.Millisecond
 	watchWait    = 5 * time.Second
-	watchTimeout = 6 * time.Second
+	watchTimeout = watchWait + listTimeout
 	callLatency  = 5 * time.Millisecond
+	slowLatency  = 1200 * time.Millisecond
 )
 
 // faultyStore is a Source that can fall silent: calls that wait at that moment
@@ -34,11 +35,14 @@
 	// epoch counts the times that the store fell silent.
 	epoch   int
 	changed chan struct{}
-	calls   int
+	latency time.Duration
+	// calls are all but probes.
+	calls  int
+	probes int
 }
 
 func newFaultyStore() *faultyStore {
-	s := &faultyStore{changed: make(chan struct{})}
+	s := &faultyStore{changed: make(chan struct{}), latency: callLatency}
 	s.put("v1")
 	return s
 }
@@ -66,10 +70,16 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *faultyStore) made() int {
+func (s *faultyStore) setLatency(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	s.latency = d
+}
+
+func (s *faultyStore) made() (calls, probes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls, s.probes
 }
 
 // answered blocks a call for good if the store is silent or was since epoch.
@@ -86,19 +96,20 @@
 	return nil
 }
 
-func (s *faultyStore) begin() (epoch int) {
+func (s *faultyStore) begin(ctx context.Context, count *int) (epoch int) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	return s.epoch
+	*count++
+	epoch, latency := s.epoch, s.latency
+	s.mu.Unlock()
+	sleep(ctx, latency)
+	return epoch
 }
 
 // List implements Source.
 func (s *faultyStore) List(ctx context.Context, c Collection) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	epoch := s.begin()
-	sleep(ctx, callLatency)
+	epoch := s.begin(ctx, &s.calls)
 	if err := s.answered(ctx, epoch); err != nil {
 		return Batch{}, err
 	}
@@ -115,10 +126,9 @@
 func (s *faultyStore) Watch(ctx context.Context, c Collection, after uint64) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	epoch := s.begin()
+	epoch := s.begin(ctx, &s.calls)
 	end := time.After(watchWait)
 	for waited := false; ; {
-		sleep(ctx, callLatency)
 		if err := s.answered(ctx, epoch); err != nil {
 			return Batch{}, err
 		}
@@ -142,8 +152,7 @@
 
 // Probe answers whether the store serves this host.
 func (s *faultyStore) Probe(ctx context.Context) error {
-	epoch := s.begin()
-	sleep(ctx, callLatency)
+	epoch := s.begin(ctx, &s.probes)
 	return s.answered(ctx, epoch)
 }
 
@@ -151,7 +160,7 @@
 func runReader(t *testing.T, store *faultyStore, role Role) *Reader {
 	ctx, cancel := context.WithCancel(t.Context())
 	r := NewReader(store, words{}, events.New(io.Discard, logrus.ErrorLevel, time.Now), time.Now, role,
-		Callbacks{View: func(*View) {}, Change: func(Change) {}})
+		Callbacks{View: func(*View) {}, Change: func(Change) {}, Lost: func() {}})
 	var running sync.WaitGroup
 	running.Go(func() { r.Run(ctx) })
 	t.Cleanup(func() {
@@ -234,10 +243,90 @@
 		if r.StoreLost() {
 			t.Error("the store is still lost for a host that does not read it")
 		}
-		before := store.made()
+		calls, probes := store.made()
 		time.Sleep(time.Minute)
-		if made := store.made() - before; made != 0 {
-			t.Errorf("%d calls of a host that does not read the store", made)
+		if c, p := store.made(); c != calls || p != probes {
+			t.Errorf("%d calls and %d probes of a host that does not read the store", c-calls, p-probes)
 		}
 	})
 }
+
+// Guards against a slow store that is taken for a silent one, so that its
+// changes are never read.
+func TestSlowStoreIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFaultyStore()
+		r := runReader(t, store, always)
+		store.setLatency(slowLatency)
+		time.Sleep(10 * time.Second)
+		for range 20 {
+			time.Sleep(700 * time.Millisecond)
+			if r.StoreLost() {
+				t.Fatal("a store that answers after 1.2 s is lost")
+			}
+		}
+		store.put("v2")
+		time.Sleep(2 * slowLatency)
+		if got := version(r); got != 2 {
+			t.Errorf("version %d is in force %v after the change", got, 2*slowLatency)
+		}
+	})
+}
+
+// Guards against calls that pile up at a store which is away: only probes, which
+// cost a tenth, may go on.
+func TestOutageCostsProbesOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFaultyStore()
+		runReader(t, store, always)
+		store.setSilent(true)
+		time.Sleep(configBound)
+		calls, probes := store.made()
+		const outage = time.Minute
+		time.Sleep(outage)
+		c, p := store.made()
+		if c != calls {
+			t.Errorf("%d calls in an outage of %v", c-calls, outage)
+		}
+		if most := int(2 * outage / time.Second); p-probes > most {
+			t.Errorf("%d probes in an outage of %v, want %d at most", p-probes, outage, most)
+		}
+	})
+}
+
+// Guards against a store that answers probes from old data and fails the calls:
+// a reader that cannot read has to be replaced.
+func TestProbesDoNotHideFailedCalls(t *testing.T) {
+	p := newPath()
+	p.failed(start)
+	p.probeBegan(start)
+	later := start.Add(lostAfter)
+	p.probeEnded(later, start, nil, true)
+	if !p.isLost(later) {
+		t.Error("a store that fails calls is not lost once it answers a probe")
+	}
+	p.probeBegan(later)
+	if outage := p.probeEnded(later, later, nil, false); outage != lostAfter || p.isLost(later) {
+		t.Errorf("lost %v after %v for a host that makes no calls", p.isLost(later), outage)
+	}
+}
+
+// Guards against a probe on a connection that died which overrules a later one.
+func TestAnsweredProbeOutweighsOlderOnes(t *testing.T) {
+	p := newPath()
+	p.probeBegan(start)
+	now := start.Add(minPatience)
+	p.check(now)
+	if !p.isLost(now) {
+		t.Fatal("a probe that waits for too long does not count")
+	}
+	p.probeBegan(now)
+	now = now.Add(callLatency)
+	p.probeEnded(now, start.Add(minPatience), nil, true)
+	now = now.Add(maxPatience)
+	p.probeEnded(now, start, ErrUnavailable, true)
+	p.check(now)
+	if p.isLost(now.Add(lostAfter)) {
+		t.Error("the older probe made the store lost again")
+	}
+}
