Tell other regions at once of what was read, and pass on what was pulled

Callers in a region whose readers had lost the store, or had just died, got 404 on a confirmed route until 2.5 s after the change, though another region had it within 10 ms.

Cause: between regions news travelled only by marks in a heartbeat of every 1.2 s, a wait of 0.9 s and a step of 0.25 s; the host that had pulled them told nobody, so the others of its region waited for its next heartbeat, 0.25 s and a step again: up to 3.3 s.

Change: a host that reads a change sends its mark to the delegates of three other regions; one that is still behind 0.4 s later, or at once if its region's readers have lost the store, pulls the collection and passes the difference on, in its region as a push and to the next regions as a mark. News that came in another way meanwhile are not pulled. The puller wakes when something is due, not every 0.25 s. A reader that had to pull renews its watch. Changes too large for a push are announced at once.

Why it works: 0.4 s, one round trip for the pull and one push; which host reads is no longer a condition. Marks go to three regions whatever their number, so the bytes do not grow with the fleet.

TestEachRegionIsToldByAsManyOthers and TestDifferenceBringsPeersToTheListing are new.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -88,6 +88,8 @@
 	// newsMu guards ahead: the peers that know more of a collection.
 	newsMu sync.Mutex
 	ahead  map[inventory.Collection]peerAhead
+	// newsDue wakes the goroutine that pulls what peers know.
+	newsDue chan struct{}
 	// readersLost is guarded by newsMu.
 	readersLost bool
 	beatSocket  atomic.Pointer[net.PacketConn]
@@ -122,6 +124,7 @@
 		crashes:   newCrashGuard(),
 		splits:    make(map[string]*splitter),
 		ahead:     make(map[inventory.Collection]peerAhead),
+		newsDue:   make(chan struct{}, 1),
 	}
 	h.inForce.Store(&s.Bounds)
 	self := roster.Beat{
@@ -135,7 +138,7 @@
 	}
 	h.roster = roster.New(self, s.Seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	h.reader = inventory.NewReader(base.Store, base.Decoder, base.Log, time.Now, h.readsStore,
-		inventory.Callbacks{View: h.applyView, Change: h.pushChange, Lost: h.announce})
+		inventory.Callbacks{View: h.applyView, Change: h.passOn, Lost: h.announce})
 	h.entry = callers.NewServer(h.serveCall, h.callerLimits, int64(float64(s.Memory)*bodyMemoryShare))
 	return h
 }
--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -12,16 +12,19 @@
 )
 
 // Few hosts of a region read the store, since every call to it is priced. They
-// push what they read to the others of the region; marks in the heartbeats
-// show who has missed something, and it pulls the collection from a peer.
+// push what they read to the others of the region, and tell some hosts of other
+// regions of it. Marks in these messages and in the heartbeats show who has missed
+// something, and it pulls the collection from a peer. What was pulled from another
+// region is passed on like what was read.
 
 const (
 	// pullAfter and pullRemoteAfter are how long a peer has to be ahead before
-	// a collection is pulled from it: pushes need a moment, and bytes between
-	// regions are priced.
+	// a collection is pulled from it: pushes and the region's own readers need a
+	// moment, and bytes between regions are priced.
 	pullAfter       = 250 * time.Millisecond
-	pullRemoteAfter = 900 * time.Millisecond
-	pullInterval    = 250 * time.Millisecond
+	pullRemoteAfter = 400 * time.Millisecond
+	// idlePuller is the pause while no peer is ahead.
+	idlePuller = 10 * time.Second
 	// pullTimeout bounds one question to a peer.
 	pullTimeout = 1500 * time.Millisecond
 	// maxPushBytes keeps a push in one datagram; larger changes are pulled.
@@ -31,6 +34,7 @@
 // peerAhead is a peer that knows more of a collection.
 type peerAhead struct {
 	address string
+	mark    inventory.Mark
 	since   time.Time
 	remote  bool
 }
@@ -68,39 +72,50 @@
 func (h *Host) collectionStates() []*wirepb.CollectionState {
 	states := make([]*wirepb.CollectionState, 0, len(inventory.Collections))
 	for _, c := range inventory.Collections {
-		mark := h.reader.Mark(c)
-		states = append(states, &wirepb.CollectionState{Collection: uint32(c), AsOf: mark.AsOf, Digest: mark.Digest})
+		states = append(states, markToWire(c, h.reader.Mark(c)))
 	}
 	return states
 }
 
-// pushChange passes on what this host has read from the store.
-func (h *Host) pushChange(change inventory.Change) {
+// passOn tells peers what this host has read from the store, or pulled from
+// another region.
+func (h *Host) passOn(change inventory.Change) {
 	socket := h.beatSocket.Load()
-	if socket == nil {
+	if socket == nil || change.Before.AsOf == 0 {
 		return
 	}
-	size := 0
-	pushed := &wirepb.CollectionChange{Collection: uint32(change.Collection), FromDigest: change.Before.Digest, AsOf: change.AsOf}
-	for _, o := range change.Objects {
-		size += len(o.Body) + len(o.Name)
-		pushed.Objects = append(pushed.Objects, objectToWire(o))
+	h.rosterMu.Lock()
+	now, self := time.Now(), h.roster.Self()
+	near, far := h.roster.Near(now), h.roster.Delegates(now)
+	h.rosterMu.Unlock()
+	notice := &wirepb.Heartbeat{Self: beatToWire(self, 0), Collections: []*wirepb.CollectionState{markToWire(change.Collection, change.After)}}
+	slim(notice.Self)
+	h.sendTo(*socket, notice, far)
+	if size(change.Objects) <= maxPushBytes {
+		notice.Collections = nil
+		notice.Changes = []*wirepb.CollectionChange{changeToWire(change)}
 	}
-	if size > maxPushBytes || change.Before.AsOf == 0 {
-		return
+	h.sendTo(*socket, notice, near)
+}
+
+func size(objects []inventory.Object) int {
+	bytes := 0
+	for _, o := range objects {
+		bytes += len(o.Body) + len(o.Name)
 	}
-	h.rosterMu.Lock()
-	self := h.roster.Self()
-	var targets []string
-	for _, beat := range h.roster.Live(time.Now()) {
-		if beat.Region == self.Region && beat.ID != self.ID {
-			targets = append(targets, beat.PeerAddress)
-		}
+	return bytes
+}
+
+func changeToWire(change inventory.Change) *wirepb.CollectionChange {
+	pushed := &wirepb.CollectionChange{Collection: uint32(change.Collection), FromDigest: change.Before.Digest, AsOf: change.After.AsOf}
+	for _, o := range change.Objects {
+		pushed.Objects = append(pushed.Objects, objectToWire(o))
 	}
-	h.rosterMu.Unlock()
-	beat := &wirepb.Heartbeat{Self: beatToWire(self, 0), Changes: []*wirepb.CollectionChange{pushed}}
-	slim(beat.Self)
-	h.sendTo(*socket, beat, targets)
+	return pushed
+}
+
+func markToWire(c inventory.Collection, mark inventory.Mark) *wirepb.CollectionState {
+	return &wirepb.CollectionState{Collection: uint32(c), AsOf: mark.AsOf, Digest: mark.Digest}
 }
 
 func objectToWire(o inventory.Object) *wirepb.StoredObject {
@@ -117,7 +132,7 @@
 		change := inventory.Change{
 			Collection: inventory.Collection(pushed.GetCollection()),
 			Before:     inventory.Mark{Digest: pushed.GetFromDigest()},
-			AsOf:       pushed.GetAsOf(),
+			After:      inventory.Mark{AsOf: pushed.GetAsOf()},
 		}
 		for _, o := range pushed.GetObjects() {
 			change.Objects = append(change.Objects, objectFromWire(o))
@@ -134,79 +149,129 @@
 		return
 	}
 	for _, state := range message.GetCollections() {
-		h.compare(inventory.Collection(state.GetCollection()), inventory.Mark{AsOf: state.GetAsOf(), Digest: state.GetDigest()},
-			peerAhead{address: peer.PeerAddress, since: now, remote: peer.Region != h.Settings.Region})
+		h.compare(inventory.Collection(state.GetCollection()), peerAhead{
+			address: peer.PeerAddress,
+			mark:    inventory.Mark{AsOf: state.GetAsOf(), Digest: state.GetDigest()},
+			since:   now,
+			remote:  peer.Region != h.Settings.Region,
+		})
 	}
 }
 
 // compare notes whether a peer knows more of a collection than this host.
-func (h *Host) compare(c inventory.Collection, theirs inventory.Mark, peer peerAhead) {
+func (h *Host) compare(c inventory.Collection, peer peerAhead) {
 	mine := h.reader.Mark(c)
-	if theirs.AsOf > 0 && theirs.Digest == mine.Digest && mine.AsOf > 0 {
-		if theirs.AsOf > mine.AsOf {
-			h.reader.Confirmed(c, theirs.AsOf)
+	if peer.mark.AsOf > 0 && peer.mark.Digest == mine.Digest && mine.AsOf > 0 {
+		if peer.mark.AsOf > mine.AsOf {
+			h.reader.Confirmed(c, peer.mark.AsOf)
 		}
 		return
 	}
-	ahead := theirs.AsOf > mine.AsOf
+	ahead := isAhead(peer.mark, mine)
 	h.newsMu.Lock()
 	defer h.newsMu.Unlock()
 	known, waiting := h.ahead[c]
 	switch {
 	case ahead && !waiting:
 		h.ahead[c] = peer
-	case ahead && known.remote && !peer.remote:
+		h.wakePuller()
+	case ahead && (known.remote && !peer.remote || known.remote == peer.remote && peer.mark.AsOf > known.mark.AsOf):
 		peer.since = known.since
 		h.ahead[c] = peer
+		h.wakePuller()
 	case !ahead && waiting && known.address == peer.address:
 		delete(h.ahead, c)
 	}
 }
 
+// isAhead reports whether a mark is that of later content.
+func isAhead(theirs, mine inventory.Mark) bool {
+	return theirs.AsOf > mine.AsOf && (theirs.Digest != mine.Digest || mine.AsOf == 0)
+}
+
+// wakePuller makes pullNewer look at once for what is due.
+func (h *Host) wakePuller() {
+	select {
+	case h.newsDue <- struct{}{}:
+	default:
+	}
+}
+
 // pullNewer asks peers for what this host has missed.
 func (h *Host) pullNewer(ctx context.Context) {
 	client := wire.NewQuietClient(h.identity(), wire.DefaultMaxFrameBytes)
 	defer client.Close()
-	tick := time.NewTicker(pullInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			for address, collections := range h.duePulls(now) {
-				h.pull(ctx, client, address, collections)
-			}
+		case <-h.newsDue:
+		case <-timer.C:
+		}
+		due, next := h.duePulls(time.Now())
+		for address, collections := range due {
+			h.pull(ctx, client, address, collections)
 		}
+		timer.Reset(next)
 	}
 }
 
-// duePulls returns the collections to pull by peer, and forgets them.
-func (h *Host) duePulls(now time.Time) map[string][]uint32 {
+// duePulls returns the collections to pull by peer, which it forgets, and the
+// time until the next are due. What came in another way meanwhile is left out.
+func (h *Host) duePulls(now time.Time) (due map[string][]pullOrder, next time.Duration) {
 	h.newsMu.Lock()
 	defer h.newsMu.Unlock()
-	due := make(map[string][]uint32)
+	due, next = make(map[string][]pullOrder), idlePuller
 	for c, peer := range h.ahead {
-		wait := pullAfter
-		if peer.remote {
-			wait = pullRemoteAfter
-		}
-		if h.reader.Mark(c).AsOf == 0 {
-			wait = 0
-		}
-		if now.Sub(peer.since) >= wait {
-			due[peer.address] = append(due[peer.address], uint32(c))
+		mine := h.reader.Mark(c)
+		left := peer.since.Add(h.pullWait(peer, mine)).Sub(now)
+		switch {
+		case !isAhead(peer.mark, mine):
+			delete(h.ahead, c)
+		case left > 0:
+			next = min(next, left)
+		default:
+			due[peer.address] = append(due[peer.address], pullOrder{c, peer.remote})
 			delete(h.ahead, c)
 		}
 	}
-	return due
+	return due, next
 }
 
-func (h *Host) pull(ctx context.Context, client *wire.Client, address string, collections []uint32) {
+// pullOrder is a collection to pull.
+type pullOrder struct {
+	collection inventory.Collection
+	// remote means that the peer is in another region.
+	remote bool
+}
+
+// pullWait is how long a peer has to be ahead. It is called with newsMu held.
+func (h *Host) pullWait(peer peerAhead, mine inventory.Mark) time.Duration {
+	switch {
+	case mine.AsOf == 0:
+		return 0
+	case !peer.remote:
+		return pullAfter
+	case h.readersLost:
+		return 0
+	default:
+		return pullRemoteAfter
+	}
+}
+
+func (h *Host) pull(ctx context.Context, client *wire.Client, address string, orders []pullOrder) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	h.Metrics.Add("pulls", 1)
-	question := &wirepb.Envelope{Body: &wirepb.Envelope_SnapshotPull{SnapshotPull: &wirepb.SnapshotPull{Collections: collections}}}
+	asked := &wirepb.SnapshotPull{}
+	remote := make(map[inventory.Collection]bool)
+	for _, order := range orders {
+		asked.Collections = append(asked.Collections, uint32(order.collection))
+		remote[order.collection] = order.remote
+	}
+	question := &wirepb.Envelope{Body: &wirepb.Envelope_SnapshotPull{SnapshotPull: asked}}
 	reply, err := client.Call(ctx, address, question)
 	if err != nil {
 		h.Log.Emit(events.PeerConnectionLost, events.Peer(address), events.Reason(err))
@@ -218,8 +283,11 @@
 			batch.Objects = append(batch.Objects, objectFromWire(o))
 		}
 		c := inventory.Collection(snapshot.GetCollection())
-		h.reader.Adopt(c, batch, address)
+		change, changed := h.reader.Adopt(c, batch, address)
 		h.Log.Emit(events.StateFromPeer, events.Subject(c.String()), events.Peer(address), events.Count(len(batch.Objects)))
+		if changed && remote[c] {
+			h.passOn(change)
+		}
 	}
 }
 
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -37,14 +37,13 @@
 // its peers have read.
 type Role func(now time.Time) bool
 
-// Change is what one call to the store changed.
+// Change is what one call to the store, or one answer of a peer, changed.
 type Change struct {
 	Collection Collection
-	// Before identifies the content that the change applies to.
-	Before Mark
-	// AsOf is the revision of the store after the change.
-	AsOf    uint64
-	Objects []Object
+	// Before and After identify the content that the change applies to, and what
+	// it makes of it.
+	Before, After Mark
+	Objects       []Object
 }
 
 // Reader keeps a State up to date from a Source or from peers, and publishes
@@ -398,23 +397,31 @@
 	before := r.state.Mark(c)
 	r.heardAt[c] = r.now()
 	into(r.now(), c, batch)
-	if r.state.Mark(c).Digest == before.Digest {
+	after := r.state.Mark(c)
+	if after.Digest == before.Digest {
 		return
 	}
 	r.publish("")
-	r.onChange(Change{Collection: c, Before: before, AsOf: batch.Revision, Objects: batch.Objects})
+	r.onChange(Change{Collection: c, Before: before, After: after, Objects: batch.Objects})
 }
 
-// Adopt takes over a collection as a peer holds it.
-func (r *Reader) Adopt(c Collection, batch Batch, sender string) {
+// Adopt takes over a collection as a peer holds it. It reports what that changed.
+func (r *Reader) Adopt(c Collection, batch Batch, sender string) (change Change, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.state.Mark(c)
+	before, objects := r.state.Mark(c), r.state.Difference(c, batch)
 	r.heardAt[c] = r.now()
 	r.state.Listing(r.now(), c, batch)
-	if r.state.Mark(c).Digest != before.Digest {
-		r.publish(sender)
+	after := r.state.Mark(c)
+	if after.Digest == before.Digest {
+		return Change{}, false
+	}
+	if cancel := r.cancelWatch[c]; cancel != nil {
+		// The store may have forgotten a watch that did not bring this.
+		cancel()
 	}
+	r.publish(sender)
+	return Change{Collection: c, Before: before, After: after, Objects: objects}, true
 }
 
 // Pushed applies a change that a peer has read. It reports whether the change
@@ -423,11 +430,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.state.Mark(change.Collection)
-	if before.Digest != change.Before.Digest || before.AsOf == 0 || change.AsOf < before.AsOf {
+	if before.Digest != change.Before.Digest || before.AsOf == 0 || change.After.AsOf < before.AsOf {
 		return false
 	}
 	r.heardAt[change.Collection] = r.now()
-	r.state.Changes(r.now(), change.Collection, Batch{Objects: change.Objects, Revision: change.AsOf})
+	r.state.Changes(r.now(), change.Collection, Batch{Objects: change.Objects, Revision: change.After.AsOf})
 	r.publish(sender)
 	return true
 }
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -86,6 +86,24 @@
 	s.confirm(c, batch.Revision)
 }
 
+// Difference returns the changes that turn what is known into a listing.
+func (s *State) Difference(c Collection, batch Batch) []Object {
+	var changes []Object
+	listed := make(map[string]bool, len(batch.Objects))
+	for _, o := range batch.Objects {
+		listed[o.Name] = true
+		if known, ok := s.objects[c][o.Name]; !ok || known.Revision < o.Revision {
+			changes = append(changes, o)
+		}
+	}
+	for name := range s.objects[c] {
+		if !listed[name] {
+			changes = append(changes, Object{Name: name, Revision: batch.Revision, Deleted: true})
+		}
+	}
+	return changes
+}
+
 // Changes applies the changes of a collection.
 func (s *State) Changes(now time.Time, c Collection, batch Batch) {
 	s.news(now, c)
--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -153,3 +153,24 @@
 		t.Errorf("evacuated %v, released %v", view.Evacuated, view.ReleasedAt)
 	}
 }
+
+// Guards against news from another region that the hosts of this one cannot
+// apply, so that each of them pulls the collection.
+func TestDifferenceBringsPeersToTheListing(t *testing.T) {
+	pulled, _ := newState(t)
+	peer, _ := newState(t)
+	known := list(5, object("kept", 1, "ready"), object("changed", 2, "ready"), object("removed", 3, "ready"), object("newer", 5, "ready"))
+	for _, s := range []*State{pulled, peer} {
+		s.Listing(start, Servers, known)
+	}
+	listing := list(9, object("kept", 1, "ready"), object("changed", 7, "draining"), object("added", 8, "ready"), object("newer", 5, "ready"))
+	changes := pulled.Difference(Servers, listing)
+	pulled.Listing(start, Servers, listing)
+	peer.Changes(start, Servers, list(9, changes...))
+	if len(changes) != 3 {
+		t.Errorf("%d changes, want 3", len(changes))
+	}
+	if got, want := peer.Mark(Servers), pulled.Mark(Servers); got != want {
+		t.Errorf("the peer has %+v, want %+v", got, want)
+	}
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -53,6 +53,10 @@
 	maxNewcomers = 16
 	// delegates is the number of hosts of a region that speak to other regions.
 	delegates = 2
+	// toldRegions is the number of other regions that are told at once of what is
+	// read from the store: bytes must not grow with the number of regions, and a
+	// region needs a few that tell it.
+	toldRegions = 3
 	// readers is the number of hosts of a region that read the store for it.
 	readers = 2
 	// minEntries hosts of a region carry its requests, so that the loss of one
@@ -297,20 +301,59 @@
 func (r *Roster) remoteBeat(now time.Time, regions map[string]bool) Message {
 	message := Message{Whole: true, Introduced: r.introductions(now, r.self.Region)}
 	for _, region := range slices.Sorted(maps.Keys(regions)) {
-		known := r.Entries(now, region, delegates)
-		if len(known) == 0 {
-			known = r.anyOf(region)
-		}
+		known := r.contacts(now, region)
 		if len(r.anyOf(region)) < smallRegion {
 			known = known[r.rng.IntN(len(known)):][:1]
 		}
-		for _, b := range known[:min(len(known), delegates)] {
-			message.To = append(message.To, b.PeerAddress)
-		}
+		message.To = append(message.To, peerAddresses(known)...)
 	}
 	return message
 }
 
+// contacts returns the hosts of another region to speak to: its delegates, or
+// any that were heard of.
+func (r *Roster) contacts(now time.Time, region string) []Beat {
+	known := r.Entries(now, region, delegates)
+	if len(known) == 0 {
+		known = r.anyOf(region)
+	}
+	return known[:min(len(known), delegates)]
+}
+
+// Near returns the peer addresses of the live hosts of the region.
+func (r *Roster) Near(now time.Time) []string {
+	live := slices.DeleteFunc(r.Live(now), func(b Beat) bool { return b.Region != r.self.Region || b.ID == r.self.ID })
+	return peerAddresses(live)
+}
+
+// Delegates returns the peer addresses of the delegates of other regions that
+// this region tells of news: the next ones in the order of their names, so that
+// each region is told by as many.
+func (r *Roster) Delegates(now time.Time) []string {
+	known := make(map[string]bool)
+	for _, m := range r.members {
+		if m.beat.Region != r.self.Region {
+			known[m.beat.Region] = true
+		}
+	}
+	regions := slices.Sorted(maps.Keys(known))
+	next, _ := slices.BinarySearch(regions, r.self.Region)
+	var addresses []string
+	for i := range min(toldRegions, len(regions)) {
+		region := regions[(next+i)%len(regions)]
+		addresses = append(addresses, peerAddresses(r.contacts(now, region))...)
+	}
+	return addresses
+}
+
+func peerAddresses(beats []Beat) []string {
+	addresses := make([]string, 0, len(beats))
+	for _, b := range beats {
+		addresses = append(addresses, b.PeerAddress)
+	}
+	return addresses
+}
+
 func (r *Roster) anyOf(region string) []Beat {
 	var beats []Beat
 	for _, m := range r.members {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -280,6 +280,37 @@
 	}
 }
 
+// Guards against a region that nobody tells of news, and against messages that
+// grow with the number of regions.
+func TestEachRegionIsToldByAsManyOthers(t *testing.T) {
+	for _, regions := range []int{2, 3, 4, 25} {
+		told := make(map[string]int)
+		for from := range regions {
+			r := newRoster(beat("me", fmt.Sprintf("region-%02d", from), "a"))
+			for to := range regions {
+				for i := range 3 {
+					r.Heard(start, beat(fmt.Sprintf("h-%02d-%d", to, i), fmt.Sprintf("region-%02d", to), "a"), 0)
+				}
+			}
+			addresses := r.Delegates(start)
+			if want := delegates * min(toldRegions, regions-1); len(addresses) != want {
+				t.Errorf("%d regions: one tells %d hosts, want %d", regions, len(addresses), want)
+			}
+			for _, a := range addresses {
+				told[a[:len("p-h-00")]]++
+			}
+		}
+		for region, n := range told {
+			if want := delegates * min(toldRegions, regions-1); n != want {
+				t.Errorf("%d regions: %s is told %d times, want %d", regions, region, n, want)
+			}
+		}
+		if len(told) != regions {
+			t.Errorf("%d of %d regions are told", len(told), regions)
+		}
+	}
+}
+
 // Guards against small hosts that get as many requests as large ones, because
 // callers choose among the entry hosts at random.
 func TestLargeHostsAreEntriesFirst(t *testing.T) {
