Let more hosts read while the store answers none of a region's readers

Callers of a region whose hosts are turned away in part waited for one pair of readers after the other: each round takes a second to find that it is turned away, too, and a change is due after two.

Cause: readers that lost the store were replaced by two more, whatever their number.

Change: while all of the first readers are lost, two hosts and as many more as have lost the store read, among the eight that rank first. One that is lost is replaced by one, as before. Eight bound what an outage costs a large region.

TestReadersAreReplacedWhileTheStoreTurnsThemAway wanted two more readers for two that are lost and now wants four: an exact number as before, that of the new rule.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -58,7 +58,11 @@
 	// region needs a few that tell it.
 	toldRegions = 3
 	// readers is the number of hosts of a region that read the store for it.
-	readers = 2
+	// While it answers none of them, that number and as many more as have lost it
+	// read: a round of replacements takes a second to find that they are turned
+	// away, too. maxReaders bounds the hosts of a region that are tried.
+	readers    = 2
+	maxReaders = 8
 	// minEntries hosts of a region carry its requests, so that the loss of one
 	// leaves callers another address.
 	minEntries = 2
@@ -210,7 +214,7 @@
 // speak to other regions.
 func (r *Roster) active(now time.Time, slots int) []Beat {
 	// The delegates are the first of the entry hosts.
-	return append(r.EntriesFor(now, r.self.Region, slots), r.storeReaders(now, Beat.stays)...)
+	return append(r.EntriesFor(now, r.self.Region, slots), r.storeReaders(now)...)
 }
 
 // IsActive reports whether this host carries requests, reads the store or speaks
@@ -404,25 +408,37 @@
 }
 
 // ReadersLost reports whether the store answers none of the hosts that read it
-// for the region.
+// for the region while all is well.
 func (r *Roster) ReadersLost(now time.Time) bool {
-	reading := r.storeReaders(now, Beat.stays)
-	return len(reading) > 0 && !slices.ContainsFunc(reading, Beat.reachesStore)
+	return allLost(firstReaders(r.readerRanking(now)))
 }
 
-func (b Beat) stays() bool { return b.State != Leaving }
-
 func (b Beat) reachesStore() bool { return !b.StoreLost }
 
-// storeReaders chooses the readers of the region among the hosts that may read.
-func (r *Roster) storeReaders(now time.Time, may func(Beat) bool) []Beat {
-	var near []Beat
-	for _, beat := range r.Live(now) {
-		if beat.Region == r.self.Region && beat.stays() && may(beat) {
-			near = append(near, beat)
-		}
+func allLost(beats []Beat) bool {
+	return len(beats) > 0 && !slices.ContainsFunc(beats, Beat.reachesStore)
+}
+
+// readerRanking returns the hosts of the region that may read the store, those
+// that are to read it first.
+func (r *Roster) readerRanking(now time.Time) []Beat {
+	near := slices.DeleteFunc(r.Live(now), func(b Beat) bool { return b.Region != r.self.Region || b.State == Leaving })
+	return spread(r.self.Region+"/store", near, maxReaders)
+}
+
+func firstReaders(ranking []Beat) []Beat { return ranking[:min(len(ranking), readers)] }
+
+// storeReaders returns the hosts that read the store for the region. Those that
+// it does not answer are replaced, but the first go on trying.
+func (r *Roster) storeReaders(now time.Time) []Beat {
+	ranking := r.readerRanking(now)
+	first := firstReaders(ranking)
+	reaching := slices.DeleteFunc(slices.Clone(ranking), func(b Beat) bool { return b.StoreLost })
+	count := readers
+	if allLost(first) {
+		count += len(ranking) - len(reaching)
 	}
-	return spread(r.self.Region+"/store", near, readers)
+	return append(slices.Clone(first), reaching[:min(len(reaching), count)]...)
 }
 
 // Peer returns what is known of another host.
@@ -434,12 +450,9 @@
 	return m.beat, true
 }
 
-// IsReader reports whether this host reads the store for its region. Hosts
-// that the store does not answer are replaced, but those that rank highest go
-// on trying.
+// IsReader reports whether this host reads the store for its region.
 func (r *Roster) IsReader(now time.Time) bool {
-	return containsHost(r.storeReaders(now, Beat.stays), r.self.ID) ||
-		containsHost(r.storeReaders(now, Beat.reachesStore), r.self.ID)
+	return containsHost(r.storeReaders(now), r.self.ID)
 }
 
 func (r *Roster) isLive(now time.Time, m *member) bool {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -210,8 +210,8 @@
 	}
 	now = n.run(now, 2*time.Second)
 	replaced := count()
-	if len(replaced) != 4 {
-		t.Errorf("%d hosts read while two are turned away, want these and two more", len(replaced))
+	if len(replaced) != 6 {
+		t.Errorf("%d hosts read while two are turned away, want these and four more", len(replaced))
 	}
 	for _, host := range n.hosts {
 		if host.Self().Region == "west" && !host.ReadersLost(now) {
