Bound what is read of answers that never end

Callers whose request met a server that sends bytes without end got 504 at the end of their route's time, and the host took what came meanwhile into memory: 64 to 83 MB of one request in 2.5 s at the pace of the test. A host has 206 MB.

Cause: an answer's body was bounded (16 MB each, for any number of answers), its head was not: neither the length of a line, nor the number of lines, nor that of informational answers. Nothing bounded the answers of a host together.

Change: 64 KB for a head, eight informational answers, 16 MB for a body as it is sent, and a fifth of the memory for all answers that are being read. The budget and the reader are those of callers' bodies, now in internal/bounded. Past a bound the connection is closed and the request ends as with any other bytes that are no answer: 502, or the next server if it may be repeated.

Before: TestEndlessBytesEndTheRequest failed for five of seven kinds (504; 64 to 83 MB taken). After: 502 for each, and the next request is served.

--- /dev/null
+++ b/internal/bounded/bounded.go
@@ -0,0 +1,109 @@
+// Package bounded bounds what is read from the network, so that a peer that
+// sends without end cannot take the memory of the process.
+package bounded
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// chunk is the step in which the memory for a body grows.
+const chunk = 64 << 10
+
+// Errors of ReadAll.
+var (
+	// ErrSpent means that other bodies hold the memory.
+	ErrSpent = errors.New("memory for bodies is spent")
+	// ErrTooLong means that a body exceeds its limit.
+	ErrTooLong = errors.New("body exceeds its limit")
+)
+
+// Budget is an amount of memory in bytes. It is safe for concurrent use.
+type Budget struct {
+	mu   sync.Mutex
+	free int64
+}
+
+// New returns a budget of so many bytes.
+func New(bytes int64) *Budget { return &Budget{free: bytes} }
+
+// Free returns what is left.
+func (b *Budget) Free() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.free
+}
+
+// Take reports whether n bytes are left, and takes them if they are.
+func (b *Budget) Take(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.free < n {
+		return false
+	}
+	b.free -= n
+	return true
+}
+
+// Give returns bytes.
+func (b *Budget) Give(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.free += n
+}
+
+// ReadAll reads to the end within the budget. size is the length of the body, or
+// negative. The capacity of the body has been taken from the budget if there is
+// no error, and nothing otherwise.
+func (b *Budget) ReadAll(r io.Reader, size, limit int64) (body []byte, err error) {
+	defer func() {
+		if err != nil {
+			b.Give(int64(cap(body)))
+			body = nil
+		}
+	}()
+	for {
+		if int64(len(body)) > limit {
+			return body, ErrTooLong
+		}
+		if len(body) == cap(body) {
+			grown := cap(body)*2 + chunk
+			if len(body) == 0 && size >= 0 && size < chunk {
+				// One byte more lets the end of the body be read.
+				grown = int(size) + 1
+			}
+			if !b.Take(int64(grown - cap(body))) {
+				return body, ErrSpent
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+// Reader ends with io.ErrUnexpectedEOF when Left bytes have been read.
+type Reader struct {
+	From io.Reader
+	Left int64
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	if r.Left <= 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	if int64(len(p)) > r.Left {
+		p = p[:r.Left]
+	}
+	n, err := r.From.Read(p)
+	r.Left -= int64(n)
+	return n, err
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
 )
 
 const (
@@ -25,9 +27,8 @@
 	readBuffer    = 4 << 10
 	// headerSlack is room for the request line beside the header limit.
 	headerSlack = 1 << 10
-	// bodyChunk is the step in which the memory for a body of unknown length
-	// is taken.
-	bodyChunk = 64 << 10
+	// unknownSize is that of a body in chunks.
+	unknownSize = -1
 )
 
 // exchange is a request with its answer to be.
@@ -41,7 +42,7 @@
 type conn struct {
 	server *Server
 	raw    net.Conn
-	limit  *limitedReader
+	limit  *bounded.Reader
 	reader *bufio.Reader
 
 	mu       sync.Mutex
@@ -50,7 +51,7 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	limit := &limitedReader{conn: raw}
+	limit := &bounded.Reader{From: raw}
 	return &conn{server: s, raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
 }
 
@@ -107,7 +108,7 @@
 
 func (c *conn) run(ctx context.Context, req *Request, ex *exchange) {
 	defer close(ex.ready)
-	defer c.server.memory.give(int64(cap(req.Body)))
+	defer c.server.memory.Give(int64(cap(req.Body)))
 	ex.answer = c.server.handler(ctx, req)
 }
 
@@ -155,7 +156,7 @@
 		if !c.setReadDeadline(limits.IdleTimeout) {
 			return true, false
 		}
-		c.limit.remaining = int64(limits.MaxHeaderBytes) + headerSlack
+		c.limit.Left = int64(limits.MaxHeaderBytes) + headerSlack
 		_, err := c.reader.Peek(1)
 		switch {
 		case err == nil:
@@ -183,7 +184,7 @@
 		if !c.setReadDeadline(step) {
 			return false
 		}
-		c.limit.remaining = readBuffer
+		c.limit.Left = readBuffer
 		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				continue
@@ -215,7 +216,7 @@
 			_, _ = io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n")
 		}
 	}
-	c.limit.remaining = limits.MaxBodyBytes + int64(limits.MaxHeaderBytes)
+	c.limit.Left = limits.MaxBodyBytes + int64(limits.MaxHeaderBytes)
 	c.setReadDeadline(limits.BodyTimeout)
 	body, whole, answer := c.readBody(parsed, limits)
 	if !whole {
@@ -227,7 +228,7 @@
 
 func (c *conn) headerFailure(err error) *Answer {
 	switch {
-	case c.limit.remaining <= 0:
+	case c.limit.Left <= 0:
 		return failure(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return failure(http.StatusRequestTimeout)
@@ -251,40 +252,28 @@
 	if size < 0 {
 		return c.readChunked(parsed.Body, limits)
 	}
-	if !c.server.memory.take(size) {
+	if !c.server.memory.Take(size) {
 		return nil, false, retryLater()
 	}
 	body = make([]byte, size)
 	if _, err := io.ReadFull(parsed.Body, body); err != nil {
-		c.server.memory.give(size)
+		c.server.memory.Give(size)
 		return nil, false, bodyFailure(err)
 	}
 	return body, true, nil
 }
 
 func (c *conn) readChunked(r io.Reader, limits Limits) (body []byte, whole bool, answer *Answer) {
-	for {
-		if int64(len(body)) > limits.MaxBodyBytes {
-			c.server.memory.give(int64(cap(body)))
-			return nil, false, failure(http.StatusRequestEntityTooLarge)
-		}
-		if len(body) == cap(body) {
-			grown := cap(body)*2 + bodyChunk
-			if !c.server.memory.take(int64(grown - cap(body))) {
-				c.server.memory.give(int64(cap(body)))
-				return nil, false, retryLater()
-			}
-			body = append(make([]byte, 0, grown), body...)
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, true, nil
-		}
-		if err != nil {
-			c.server.memory.give(int64(cap(body)))
-			return nil, false, bodyFailure(err)
-		}
+	body, err := c.server.memory.ReadAll(r, unknownSize, limits.MaxBodyBytes)
+	switch {
+	case err == nil:
+		return body, true, nil
+	case errors.Is(err, bounded.ErrTooLong):
+		return nil, false, failure(http.StatusRequestEntityTooLarge)
+	case errors.Is(err, bounded.ErrSpent):
+		return nil, false, retryLater()
+	default:
+		return nil, false, bodyFailure(err)
 	}
 }
 
@@ -379,21 +368,3 @@
 	}
 	_ = c.raw.Close()
 }
-
-// limitedReader bounds the bytes read for one request.
-type limitedReader struct {
-	conn      net.Conn
-	remaining int64
-}
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, io.ErrUnexpectedEOF
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.conn.Read(p)
-	l.remaining -= int64(n)
-	return n, err
-}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
 )
 
 // Request is one request with its whole body.
@@ -54,7 +56,7 @@
 	refused atomic.Int64
 
 	draining atomic.Bool
-	memory   *memoryBudget
+	memory   *bounded.Budget
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -64,7 +66,7 @@
 // NewServer returns a server. limits is read for every request. bodyMemory
 // bounds the bytes of request bodies that are held at the same time.
 func NewServer(handler Handler, limits func() Limits, bodyMemory int64) *Server {
-	return &Server{handler: handler, limits: limits, memory: &memoryBudget{free: bodyMemory}, conns: make(map[*conn]struct{})}
+	return &Server{handler: handler, limits: limits, memory: bounded.New(bodyMemory), conns: make(map[*conn]struct{})}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -135,25 +137,3 @@
 
 // Refused returns the number of requests that broke the limits.
 func (s *Server) Refused() int64 { return s.refused.Load() }
-
-// memoryBudget bounds the bytes of request bodies in memory.
-type memoryBudget struct {
-	mu   sync.Mutex
-	free int64
-}
-
-func (b *memoryBudget) take(n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.free < n {
-		return false
-	}
-	b.free -= n
-	return true
-}
-
-func (b *memoryBudget) give(n int64) {
-	b.mu.Lock()
-	b.free += n
-	b.mu.Unlock()
-}
--- a/internal/host/crash_test.go
+++ b/internal/host/crash_test.go
@@ -36,7 +36,7 @@
 			for i := range c.causes {
 				id := fmt.Sprint("i-", i)
 				listed = append(listed, scheduler.Server{ID: id, Service: "desk", Region: "west", Slots: 1})
-				h.backends[id] = &backend{pool: upstream.NewPool("127.0.0.1:1")}
+				h.backends[id] = &backend{pool: upstream.NewPool("127.0.0.1:1", h.answers)}
 			}
 			h.scheduler.SetServers(time.Now(), listed, 1)
 			for i, cause := range c.causes {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
 	"github.com/wisteriacrank/wisteriacrank/internal/callers"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
@@ -30,8 +31,10 @@
 	lookupLinger = 3*lookupTTL + 300*time.Millisecond
 	// stopMargin is kept before the kill.
 	stopMargin = 700 * time.Millisecond
-	// bodyMemoryShare is the share of the memory that request bodies may take.
-	bodyMemoryShare = 0.25
+	// bodyMemoryShare and answerMemoryShare are the shares of the memory that
+	// request bodies and answers that are being read may take.
+	bodyMemoryShare   = 0.25
+	answerMemoryShare = 0.2
 	// defaultBodyTimeout bounds how long a caller may take to send a body.
 	defaultBodyTimeout = 10 * time.Second
 )
@@ -75,7 +78,9 @@
 	backends  map[string]*backend
 	retries   map[string]*retryBudget
 	crashes   *crashGuard
-	splits    map[string]*splitter
+	// answers is the memory for answers that are being read.
+	answers *bounded.Budget
+	splits  map[string]*splitter
 
 	// viewed is the view that was applied last.
 	viewed *inventory.View
@@ -122,6 +127,7 @@
 		backends:  make(map[string]*backend),
 		retries:   make(map[string]*retryBudget),
 		crashes:   newCrashGuard(),
+		answers:   bounded.New(int64(float64(s.Memory) * answerMemoryShare)),
 		splits:    make(map[string]*splitter),
 		ahead:     make(map[inventory.Collection]peerAhead),
 		newsDue:   make(chan struct{}, 1),
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -81,7 +81,7 @@
 		h.Log.Emit(events.ServerAdded, events.Server(model.ServerID(id)), events.Service(model.Service(server.Service)),
 			events.FailureDomain(model.FailureDomain(server.Domain)))
 	}
-	h.backends[id] = &backend{address: server.Address, born: server.Born, pool: upstream.NewPool(server.Address)}
+	h.backends[id] = &backend{address: server.Address, born: server.Born, pool: upstream.NewPool(server.Address, h.answers)}
 	return known != nil
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
 )
 
 const (
@@ -23,8 +25,12 @@
 	// concurrentWriteBytes is the body size from which a server may answer
 	// before it has read the whole request.
 	concurrentWriteBytes = 16 << 10
-	// maxAnswerBytes bounds an answer in memory.
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
+	// maxAnswerBytes bounds the body of an answer, as it is sent.
 	maxAnswerBytes = 16 << 20
+	// maxInformational is how many informational answers are skipped.
+	maxInformational = 8
 	// maxForeignAnswers is how many late answers to earlier requests are
 	// skipped before the connection is given up.
 	maxForeignAnswers = 2
@@ -32,14 +38,18 @@
 
 // conn is one connection. It is used by one goroutine at a time.
 type conn struct {
-	raw      net.Conn
-	reader   *bufio.Reader
+	raw    net.Conn
+	limit  *bounded.Reader
+	reader *bufio.Reader
+	// memory bounds the answers that are being read.
+	memory   *bounded.Budget
 	written  atomic.Int64
 	useUntil time.Time
 }
 
-func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
+func newConn(raw net.Conn, memory *bounded.Budget) *conn {
+	limit := &bounded.Reader{From: raw}
+	return &conn{raw: raw, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer), memory: memory}
 }
 
 // isQuiet reports whether the connection is open and has no unread bytes:
@@ -94,13 +104,11 @@
 	if err != nil {
 		return nil, false, c.failure(ctx, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
-	}
+	body, err := c.memory.ReadAll(resp.Body, resp.ContentLength, maxAnswerBytes)
 	if err != nil {
 		return nil, false, c.failure(ctx, fmt.Errorf("read answer: %w", err))
 	}
+	c.memory.Give(int64(cap(body)))
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, c.isReusable(resp, wrote), nil
 }
 
@@ -143,14 +151,19 @@
 // readOwn reads answers until that of the request, skipping informational
 // ones and late answers to earlier requests.
 func (c *conn) readOwn(req Request) (*http.Response, error) {
-	for skipped := 0; ; {
+	for skipped, informational := 0, 0; ; {
+		c.limit.Left = maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
 		if resp.StatusCode < http.StatusOK {
+			if informational++; informational > maxInformational {
+				return nil, errors.New("informational answers without end")
+			}
 			continue
 		}
+		c.limit.Left = maxAnswerBytes
 		if req.Belongs(resp.Header) != Foreign {
 			return resp, nil
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
 	"github.com/wisteriacrank/wisteriacrank/internal/livedial"
 )
 
@@ -81,14 +82,18 @@
 // Pool keeps the connections to one address. It is safe for concurrent use.
 type Pool struct {
 	address string
+	memory  *bounded.Budget
 
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
 }
 
-// NewPool returns a pool without connections.
-func NewPool(address string) *Pool { return &Pool{address: address} }
+// NewPool returns a pool without connections. Answers that are being read take
+// from the memory, which pools share.
+func NewPool(address string, memory *bounded.Budget) *Pool {
+	return &Pool{address: address, memory: memory}
+}
 
 // Close closes the idle connections; those in use are closed after use.
 func (p *Pool) Close() {
@@ -108,7 +113,7 @@
 	if c == nil {
 		start := time.Now()
 		var err error
-		if c, err = dial(ctx, p.address); err != nil {
+		if c, err = p.dial(ctx); err != nil {
 			return nil, &Failure{Unreachable: ctx.Err() == nil, Err: err}
 		}
 		dialed(time.Since(start))
@@ -125,7 +130,7 @@
 // Open opens a connection for later use.
 func (p *Pool) Open(ctx context.Context, dialed func(time.Duration)) error {
 	start := time.Now()
-	c, err := dial(ctx, p.address)
+	c, err := p.dial(ctx)
 	if err != nil {
 		return err
 	}
@@ -185,16 +190,16 @@
 	}
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	dialer := livedial.NewDialer(livedial.Limits{
 		Dial:           DialTimeout,
 		Unacknowledged: silenceTimeout,
 		KeepAlive:      keepAlive,
 		KeepAliveCount: keepAliveCount,
 	})
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		return nil, fmt.Errorf("connect to %s: %w", address, err)
+		return nil, fmt.Errorf("connect to %s: %w", p.address, err)
 	}
-	return newConn(raw), nil
+	return newConn(raw, p.memory), nil
 }
