Replace readers that fall silent before a change is due

Callers of a region whose two readers have just died, and of a host that is cut off from its peers but not from the store, may get 404 on a confirmed route for up to 0.3 s.

A host counted on a reader until it had not been heard for 1.7 s, the time after which look-ups leave a host out. With 0.2 s until the host looks at its role, and a probe, a call and a push, that is all of the 2 s.

Change: for reading the store, and for that only, a host that carries requests or reads counts for 1 s after its last heartbeat. A host that hears of no such host is on its own and reads.

Before: TestSilentReadersAreReplacedBeforeAChangeIsDue failed for regions of 6, 8 and 40 hosts, with the readers silent and with all others silent. After: it passes.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -24,7 +24,12 @@
 	// LocalTimeout is the silence after which a host of the region is taken for
 	// dead: four heartbeats, since single datagrams are lost.
 	LocalTimeout = 1700 * time.Millisecond
-	// RemoteTimeout is the same for other regions, whose news comes through
+	// readerTimeout is the silence after which nobody counts on a host that carries
+	// requests or reads the store to tell of changes: two heartbeats, of which one
+	// may be lost. Changes have to be in force within 2 s, and a host that reads
+	// the store for nothing costs a few calls.
+	readerTimeout = time.Second
+	// RemoteTimeout is LocalTimeout for other regions, whose news comes through
 	// one of their hosts at a time.
 	RemoteTimeout = 5 * time.Second
 	// standbyEvery is the number of intervals between the heartbeats of a host
@@ -420,9 +425,26 @@
 }
 
 // readerRanking returns the hosts of the region that may read the store, those
-// that are to read it first.
+// that are to read it first. A host that hears of no active host is on its own.
 func (r *Roster) readerRanking(now time.Time) []Beat {
-	near := slices.DeleteFunc(r.Live(now), func(b Beat) bool { return b.Region != r.self.Region || b.State == Leaving })
+	near := []Beat{r.self}
+	alone := true
+	for _, m := range r.members {
+		if m.beat.Region != r.self.Region || m.beat.State == Leaving {
+			continue
+		}
+		active := !m.beat.Standby
+		if active && now.Sub(m.heard) < readerTimeout || !active && r.isLive(now, m) {
+			near = append(near, m.beat)
+			alone = alone && !active
+		}
+	}
+	if alone {
+		return []Beat{r.self}
+	}
+	if r.self.State == Leaving {
+		near = near[1:]
+	}
 	return spread(r.self.Region+"/store", near, maxReaders)
 }
 
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -220,6 +220,43 @@
 	}
 }
 
+// Guards against a change that is due before the readers of a region, which have
+// just died, are replaced, and before a host that is cut off from all others reads
+// for itself.
+func TestSilentReadersAreReplacedBeforeAChangeIsDue(t *testing.T) {
+	const (
+		configBound = 2 * time.Second
+		// takeOver is the time for the step in which hosts look at their role, for
+		// a probe and a call to the store, and a push.
+		takeOver = 500 * time.Millisecond
+	)
+	for _, perDomain := range []int{3, 4, 20} {
+		for _, cut := range []string{"readers", "all others"} {
+			n := newNetwork(fleet(perDomain), "p-west-a-0")
+			now := n.run(start, 8*time.Second)
+			// They fall silent right after a heartbeat.
+			silentAt := now.Add(-BeatInterval)
+			observer := n.hosts["p-west-a-0"]
+			for address, host := range n.hosts {
+				if observer.IsReader(now) && host.Self().Region == "west" && !host.IsReader(now) {
+					observer = host
+				}
+				n.down[address] = cut == "all others" || host.Self().Region == "west" && host.IsReader(now)
+			}
+			n.down[observer.Self().PeerAddress] = false
+			n.run(now, configBound-takeOver-BeatInterval)
+			now = silentAt.Add(configBound - takeOver)
+			reads := false
+			for address, host := range n.hosts {
+				reads = reads || !n.down[address] && host.Self().Region == "west" && host.IsReader(now)
+			}
+			if !reads {
+				t.Errorf("%d hosts a region, %s silent: none reads the store in time", 2*perDomain, cut)
+			}
+		}
+	}
+}
+
 // Guards against replacements that are turned away one after the other while a
 // change is due: both readers and three more hosts of a region lose the store.
 func TestSecondRoundOfReadersReachesTheStore(t *testing.T) {
