Push changes that a reader found in a listing

Hosts whose reader lists the store anew, because its history was dropped, got the changes by heartbeats and pulls, 0.7 to 1 s later, instead of by a push.

Cause: a reader that lists anew holds its collections for revision 0, which counted as knowing nothing, and the change carried the whole listing, from which a removal does not follow.

Change: a change is the difference to what was known, whether it was read as changes, as a listing, or from a peer; one function applies the three. Only the first listing of a host is no difference.

Before: TestChangesFoundInAListingCanBeApplied fails with the old condition (a peer stays at version 1). After: it passes.

--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -81,7 +81,7 @@
 // another region.
 func (h *Host) passOn(change inventory.Change) {
 	socket := h.beatSocket.Load()
-	if socket == nil || change.Before.AsOf == 0 {
+	if socket == nil || !change.IsDifference() {
 		return
 	}
 	h.rosterMu.Lock()
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -46,6 +46,10 @@
 	Objects       []Object
 }
 
+// IsDifference reports whether a host that holds the content before the change
+// can apply it. The first listing of a host is none.
+func (c Change) IsDifference() bool { return c.Before != Mark{} }
+
 // Reader keeps a State up to date from a Source or from peers, and publishes
 // its views. It is safe for concurrent use.
 type Reader struct {
@@ -313,7 +317,7 @@
 				pause.wait(ctx)
 				continue
 			}
-			r.fold(c, batch, r.state.Listing)
+			r.fold(c, batch, true)
 			after = batch.Revision
 		}
 		pause.reset()
@@ -368,7 +372,7 @@
 			continue
 		}
 		pause.reset()
-		r.fold(c, batch, r.state.Changes)
+		r.fold(c, batch, false)
 		after = batch.Revision
 		if c == Servers && len(batch.Objects) > 0 {
 			sleep(ctx, newsPause)
@@ -390,38 +394,45 @@
 }
 
 // fold takes what was read from the store, and passes it on.
-func (r *Reader) fold(c Collection, batch Batch, into func(time.Time, Collection, Batch)) {
+func (r *Reader) fold(c Collection, batch Batch, whole bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.log.Emit(events.StoreRead, events.Subject(c.String()), events.Count(len(batch.Objects)), events.Generation(model.Generation(batch.Revision)))
-	before := r.state.Mark(c)
-	r.heardAt[c] = r.now()
-	into(r.now(), c, batch)
-	after := r.state.Mark(c)
-	if after.Digest == before.Digest {
-		return
+	if change, changed := r.take(c, batch, whole, ""); changed {
+		r.onChange(change)
 	}
-	r.publish("")
-	r.onChange(Change{Collection: c, Before: before, After: after, Objects: batch.Objects})
+}
+
+// take applies a listing of the whole collection, or changes, and publishes the
+// view if that changed it. It is called with the lock held.
+func (r *Reader) take(c Collection, batch Batch, whole bool, sender string) (change Change, changed bool) {
+	now := r.now()
+	change = Change{Collection: c, Before: r.state.Mark(c), Objects: batch.Objects}
+	r.heardAt[c] = now
+	if whole {
+		change.Objects = r.state.Difference(c, batch)
+		r.state.Listing(now, c, batch)
+	} else {
+		r.state.Changes(now, c, batch)
+	}
+	change.After = r.state.Mark(c)
+	if change.After.Digest == change.Before.Digest {
+		return change, false
+	}
+	r.publish(sender)
+	return change, true
 }
 
 // Adopt takes over a collection as a peer holds it. It reports what that changed.
 func (r *Reader) Adopt(c Collection, batch Batch, sender string) (change Change, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before, objects := r.state.Mark(c), r.state.Difference(c, batch)
-	r.heardAt[c] = r.now()
-	r.state.Listing(r.now(), c, batch)
-	after := r.state.Mark(c)
-	if after.Digest == before.Digest {
-		return Change{}, false
-	}
-	if cancel := r.cancelWatch[c]; cancel != nil {
+	change, changed = r.take(c, batch, true, sender)
+	if cancel := r.cancelWatch[c]; changed && cancel != nil {
 		// The store may have forgotten a watch that did not bring this.
 		cancel()
 	}
-	r.publish(sender)
-	return Change{Collection: c, Before: before, After: after, Objects: objects}, true
+	return change, changed
 }
 
 // Pushed applies a change that a peer has read. It reports whether the change
@@ -429,13 +440,12 @@
 func (r *Reader) Pushed(change Change, sender string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.state.Mark(change.Collection)
-	if before.Digest != change.Before.Digest || before.AsOf == 0 || change.After.AsOf < before.AsOf {
+	c := change.Collection
+	mine := r.state.Mark(c)
+	if mine.Digest != change.Before.Digest || mine.AsOf == 0 || change.After.AsOf < mine.AsOf {
 		return false
 	}
-	r.heardAt[change.Collection] = r.now()
-	r.state.Changes(r.now(), change.Collection, Batch{Objects: change.Objects, Revision: change.After.AsOf})
-	r.publish(sender)
+	r.take(c, Batch{Objects: change.Objects, Revision: change.After.AsOf}, false, sender)
 	return true
 }
 
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -33,7 +33,9 @@
 	revision uint64
 	silent   bool
 	// epoch counts the times that the store fell silent.
-	epoch   int
+	epoch int
+	// oldest is the revision before which the history is gone.
+	oldest  uint64
 	changed chan struct{}
 	latency time.Duration
 	// calls are all but probes.
@@ -55,6 +57,14 @@
 	s.wake()
 }
 
+func (s *faultyStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.oldest = s.revision
+	s.wake()
+}
+
 func (s *faultyStore) setSilent(silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,11 +143,14 @@
 			return Batch{}, err
 		}
 		s.mu.Lock()
-		batch, changed := Batch{Revision: s.revision}, s.changed
+		batch, changed, gone := Batch{Revision: s.revision}, s.changed, after < s.oldest
 		if c == Configuration && s.config.Revision > after {
 			batch.Objects = []Object{s.config}
 		}
 		s.mu.Unlock()
+		if gone {
+			return Batch{}, ErrHistoryGone
+		}
 		if waited || len(batch.Objects) > 0 {
 			return batch, nil
 		}
@@ -158,9 +171,13 @@
 
 // runReader runs a reader in the bubble of the test until it ends.
 func runReader(t *testing.T, store *faultyStore, role Role) *Reader {
+	return runReaderWith(t, store, role, func(Change) {})
+}
+
+func runReaderWith(t *testing.T, store *faultyStore, role Role, onChange func(Change)) *Reader {
 	ctx, cancel := context.WithCancel(t.Context())
 	r := NewReader(store, words{}, events.New(io.Discard, logrus.ErrorLevel, time.Now), time.Now, role,
-		Callbacks{View: func(*View) {}, Change: func(Change) {}, Lost: func() {}})
+		Callbacks{View: func(*View) {}, Change: onChange, Lost: func() {}})
 	var running sync.WaitGroup
 	running.Go(func() { r.Run(ctx) })
 	t.Cleanup(func() {
@@ -251,6 +268,29 @@
 	})
 }
 
+// Guards against changes that peers miss because a reader found them in a listing
+// after the store had dropped its history.
+func TestChangesFoundInAListingCanBeApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFaultyStore()
+		var changes []Change
+		peer := NewReader(store, words{}, events.New(io.Discard, logrus.ErrorLevel, time.Now), time.Now, always,
+			Callbacks{View: func(*View) {}, Change: func(Change) {}, Lost: func() {}})
+		r := runReaderWith(t, store, always, func(c Change) { changes = append(changes, c) })
+		peer.Adopt(Configuration, r.Snapshot(Configuration), "")
+		store.put("v2")
+		store.dropHistory()
+		time.Sleep(configBound)
+		last := changes[len(changes)-1]
+		if !last.IsDifference() || !peer.Pushed(last, "") || version(peer) != 2 {
+			t.Errorf("a peer with version %d cannot apply %+v", version(peer), last)
+		}
+		if changes[0].IsDifference() {
+			t.Error("the first listing of a host counts as a difference")
+		}
+	})
+}
+
 // Guards against a slow store that is taken for a silent one, so that its
 // changes are never read.
 func TestSlowStoreIsRead(t *testing.T) {
