End the daemons' watches before a change is due

Callers of hosts that run the three daemons could be served by an older document for up to 40 s after an outage in which the store was silent.

The agent's watch had no limit of its own but 40 s, and the store ended it after 20 s, so a watch whose answer was lost hid every change meanwhile. A watch that had waited in vain was followed by the pause of an outage, up to 4.5 s.

Change: a watch asks the store to wait for 2 s and gives up 2.5 s later; the time in which a call has waited counts as its pause. A change is read at most 4.5 s and one answer after a silent store is back; 6 s are allowed. Without changes the watchers of 65 failure domains make 65 calls/s (of 2,000) in place of 6.5.

Ruled out: a read of the object beside the watch, which would move the whole document each time.

--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -170,3 +170,43 @@
 	check("measurements", polls.latencies, int(outage/(2*maxStoreDelay+pollInterval)), int(outage/(maxStoreDelay/2+pollInterval)))
 	check("registration", run((*Agent).register).gets, int(outage/(2*maxRegisterDelay)), int(2*outage/maxRegisterDelay))
 }
+
+// silentPlatform answers no watch until it returns; then it has a change.
+type silentPlatform struct {
+	platform.Platform
+	returnsAt, answeredAt time.Time
+}
+
+const silentWatch = 4500 * time.Millisecond
+
+func (p *silentPlatform) Watch(ctx context.Context, _ string, _ uint64) ([]platform.Object, error) {
+	if began := time.Now(); began.Before(p.returnsAt) {
+		sleep(ctx, silentWatch)
+		return nil, platform.ErrUnavailable
+	}
+	if p.answeredAt.IsZero() {
+		p.answeredAt = time.Now()
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a watcher that pauses after a watch which waited in vain, so
+// that a change after a silent outage is late.
+func TestWatcherAsksAgainInTimeAfterASilentOutage(t *testing.T) {
+	const configBound = 6 * time.Second
+	for i := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			outage := time.Minute + time.Duration(i)*silentWatch/20
+			p := &silentPlatform{returnsAt: time.Now().Add(outage)}
+			a := newAgent(hostSettings(1, "127.0.0.1:1", nil), p, time.Now())
+			a.replica.SetMembers(a.members.Live())
+			ctx, cancel := context.WithTimeout(t.Context(), outage+2*configBound)
+			defer cancel()
+			a.watchLoop(ctx)
+			if late := p.answeredAt.Sub(p.returnsAt); p.answeredAt.IsZero() || late > configBound {
+				t.Errorf("after an outage of %v the first watch is answered %v later", outage, late)
+			}
+		})
+	}
+}
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -110,9 +110,11 @@
 			continue
 		}
 		after = max(after, held)
+		began := time.Now()
 		objects, err := a.platform.Watch(ctx, envobject.Key(a.settings.Host.Environment), after)
 		if a.storeCall(err) != nil {
-			sleep(ctx, policy.NextBackOff())
+			// A call that waited for its answer was a pause by itself.
+			sleep(ctx, policy.NextBackOff()-time.Since(began))
 			continue
 		}
 		policy.Reset()
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -83,6 +83,7 @@
 		{"Polls of the host list and of measurements", fmt.Sprintf("%s per s and region × %d", number(many), Regions), many * Regions, "calls/s", limitReads, fmt.Sprintf("one host per region polls: %s per s at %d hosts, %s at %d", number(few), smallFleet, number(many), quietFleet)},
 		{"Waiting watches", fmt.Sprintf("%d × %d", FailureDomains, watchersPerDom), watches, "calls", limitReads, "two watchers per failure domain"},
 		{"Watches that end with a change", fmt.Sprintf("%s × %s per s", number(watches), number(changesPerSec)), watches * changesPerSec, "calls/s", limitReads, "each watcher waits again"},
+		{"Watches that end without one", fmt.Sprintf("%s / %d s", number(watches), watchSeconds), watches / float64(watchSeconds), "calls/s", limitReads, "a watch waits for 2 s, so that a silent store shows within 5 s"},
 		{"Promotions", fmt.Sprintf("%s / day", group(fmt.Sprint(ChangesPerDay))), changesPerSec, "writes/s", limitWrites, "one conditional write each"},
 		{"Registrations", fmt.Sprintf("(%d + %d) / day", FailuresPerDay, RestartsPerDay), float64(FailuresPerDay+RestartsPerDay) / secondsPerDay, "writes/s", limitWrites, "one write per start"},
 		{"All hosts start at once, within 60 s", fmt.Sprintf("%s / 60 s", group(fmt.Sprint(Nodes))), float64(Nodes) / 60, "writes/s", limitWrites, "jittered backoff"},
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -31,6 +31,7 @@
 	cacheSeconds    = 10
 	probesPerSec    = 2
 	watchersPerDom  = 2
+	watchSeconds    = 2
 	feedFanOut      = 8
 	// statesPerFailure and statesPerRestart are the record changes that spread.
 	statesPerFailure = 2
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,8 +16,11 @@
 
 const (
 	callTimeout = 2 * time.Second
-	// watchTimeout is longer than the store's own limit for a waiting watch.
-	watchTimeout = 40 * time.Second
+	// watchWait is how long a watch asks the store to wait. A watch whose answer
+	// was lost shows only by its end, watchTimeout, and a change has to be in force
+	// within 6 s.
+	watchWait    = 2 * time.Second
+	watchTimeout = watchWait + callTimeout + 500*time.Millisecond
 
 	firstRetryDelay = 50 * time.Millisecond
 	maxRetryDelay   = 2 * time.Second
@@ -51,6 +54,7 @@
 	Prefix    string `url:"prefix,omitempty"`
 	IfVersion uint64 `url:"if-version"`
 	After     uint64 `url:"after"`
+	WaitMs    int64  `url:"wait-ms,omitempty"`
 }
 
 type versionAnswer struct {
@@ -104,7 +108,7 @@
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]Object, error) {
 	var objects []Object
-	req := c.base.New().Get("/v1/watch").QueryStruct(keyQuery{Prefix: prefix, After: after})
+	req := c.base.New().Get("/v1/watch").QueryStruct(keyQuery{Prefix: prefix, After: after, WaitMs: watchWait.Milliseconds()})
 	err := c.call(ctx, watchTimeout, req, &objects)
 	return objects, err
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -15,7 +15,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/platform"
 )
 
-// watchLimit is how long a watch waits before it returns nothing.
+// watchLimit is how long a watch waits at most before it returns nothing.
 const watchLimit = 20 * time.Second
 
 // maxValueBytes is the platform's limit on one value.
@@ -222,7 +222,11 @@
 		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	limit := time.NewTimer(watchLimit)
+	wait := watchLimit
+	if ms, err := strconv.ParseInt(r.URL.Query().Get("wait-ms"), 10, 64); err == nil {
+		wait = min(wait, time.Duration(ms)*time.Millisecond)
+	}
+	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	for {
 		s.mu.Lock()
