--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -54,7 +54,7 @@
 	Prefix    string `url:"prefix,omitempty"`
 	IfVersion uint64 `url:"if-version"`
 	After     uint64 `url:"after"`
-	WaitMs    int64  `url:"wait-ms,omitempty"`
+	Wait      int64  `url:"wait-millis,omitempty"`
 }
 
 type versionAnswer struct {
@@ -108,7 +108,7 @@
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]Object, error) {
 	var objects []Object
-	req := c.base.New().Get("/v1/watch").QueryStruct(keyQuery{Prefix: prefix, After: after, WaitMs: watchWait.Milliseconds()})
+	req := c.base.New().Get("/v1/watch").QueryStruct(keyQuery{Prefix: prefix, After: after, Wait: watchWait.Milliseconds()})
 	err := c.call(ctx, watchTimeout, req, &objects)
 	return objects, err
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -223,7 +223,7 @@
 		return
 	}
 	wait := watchLimit
-	if ms, err := strconv.ParseInt(r.URL.Query().Get("wait-ms"), 10, 64); err == nil {
+	if ms, err := strconv.ParseInt(r.URL.Query().Get("wait-millis"), 10, 64); err == nil {
 		wait = min(wait, time.Duration(ms)*time.Millisecond)
 	}
 	limit := time.NewTimer(wait)
