Ask another peer when the one that told of a change does not answer

Callers of a region without readers may get an older configuration for 1.2 s and more if the host that told the region first dies before it is asked.

Cause: only one peer was remembered as ahead, a question to it could take 1.5 s, and after a failure the host waited for the next heartbeat between regions.

Change: up to three more peers that tell of the change are remembered and asked in turn, each for 0.8 s; of peers alike, the one that knows most is asked first.

--- a/internal/host/storenews.go
+++ b/internal/host/storenews.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
@@ -25,10 +26,13 @@
 	pullRemoteAfter = 400 * time.Millisecond
 	// idlePuller is the pause while no peer is ahead.
 	idlePuller = 10 * time.Second
-	// pullTimeout bounds one question to a peer.
-	pullTimeout = 1500 * time.Millisecond
+	// pullTimeout bounds one question to a peer: the answer may take a few round
+	// trips between regions, and another peer has to be asked in time.
+	pullTimeout = 800 * time.Millisecond
 	// maxPushBytes keeps a push in one datagram; larger changes are pulled.
 	maxPushBytes = 8 << 10
+	// maxOthers bounds the peers that are asked after one that did not answer.
+	maxOthers = 3
 )
 
 // peerAhead is a peer that knows more of a collection.
@@ -37,6 +41,8 @@
 	mark    inventory.Mark
 	since   time.Time
 	remote  bool
+	// others are asked if the peer does not answer.
+	others []string
 }
 
 // watchReaders is called when what a host says of the store changes, and with
@@ -176,14 +182,40 @@
 		h.ahead[c] = peer
 		h.wakePuller()
 	case ahead && (known.remote && !peer.remote || known.remote == peer.remote && peer.mark.AsOf > known.mark.AsOf):
-		peer.since = known.since
+		peer.since, peer.others = known.since, known.others
+		peer.remember(known.address)
 		h.ahead[c] = peer
 		h.wakePuller()
+	case ahead && known.remote == peer.remote:
+		known.remember(peer.address)
+		h.ahead[c] = known
 	case !ahead && waiting && known.address == peer.address:
 		delete(h.ahead, c)
 	}
 }
 
+func (p *peerAhead) remember(address string) {
+	if len(p.others) < maxOthers && address != p.address && !slices.Contains(p.others, address) {
+		p.others = append(p.others, address)
+	}
+}
+
+// askAnother puts the next peer in the place of one that did not answer.
+func (h *Host) askAnother(c inventory.Collection, silent peerAhead) {
+	if len(silent.others) == 0 {
+		return
+	}
+	h.newsMu.Lock()
+	defer h.newsMu.Unlock()
+	if _, waiting := h.ahead[c]; waiting {
+		return
+	}
+	next := silent
+	next.address, next.others = silent.others[0], silent.others[1:]
+	h.ahead[c] = next
+	h.wakePuller()
+}
+
 // isAhead reports whether a mark is that of later content.
 func isAhead(theirs, mine inventory.Mark) bool {
 	return theirs.AsOf > mine.AsOf && (theirs.Digest != mine.Digest || mine.AsOf == 0)
@@ -233,7 +265,7 @@
 		case left > 0:
 			next = min(next, left)
 		default:
-			due[peer.address] = append(due[peer.address], pullOrder{c, peer.remote})
+			due[peer.address] = append(due[peer.address], pullOrder{c, peer})
 			delete(h.ahead, c)
 		}
 	}
@@ -243,8 +275,7 @@
 // pullOrder is a collection to pull.
 type pullOrder struct {
 	collection inventory.Collection
-	// remote means that the peer is in another region.
-	remote bool
+	from       peerAhead
 }
 
 // pullWait is how long a peer has to be ahead. It is called with newsMu held.
@@ -269,12 +300,15 @@
 	remote := make(map[inventory.Collection]bool)
 	for _, order := range orders {
 		asked.Collections = append(asked.Collections, uint32(order.collection))
-		remote[order.collection] = order.remote
+		remote[order.collection] = order.from.remote
 	}
 	question := &wirepb.Envelope{Body: &wirepb.Envelope_SnapshotPull{SnapshotPull: asked}}
 	reply, err := client.Call(ctx, address, question)
 	if err != nil {
 		h.Log.Emit(events.PeerConnectionLost, events.Peer(address), events.Reason(err))
+		for _, order := range orders {
+			h.askAnother(order.collection, order.from)
+		}
 		return
 	}
 	for _, snapshot := range reply.GetSnapshotReply().GetCollections() {
