--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -273,14 +273,21 @@
 func TestChangesFoundInAListingCanBeApplied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newFaultyStore()
+		var mu sync.Mutex
 		var changes []Change
 		peer := NewReader(store, words{}, events.New(io.Discard, logrus.ErrorLevel, time.Now), time.Now, always,
 			Callbacks{View: func(*View) {}, Change: func(Change) {}, Lost: func() {}})
-		r := runReaderWith(t, store, always, func(c Change) { changes = append(changes, c) })
+		r := runReaderWith(t, store, always, func(c Change) {
+			mu.Lock()
+			defer mu.Unlock()
+			changes = append(changes, c)
+		})
 		peer.Adopt(Configuration, r.Snapshot(Configuration), "")
 		store.put("v2")
 		store.dropHistory()
 		time.Sleep(configBound)
+		mu.Lock()
+		defer mu.Unlock()
 		last := changes[len(changes)-1]
 		if !last.IsDifference() || !peer.Pushed(last, "") || version(peer) != 2 {
 			t.Errorf("a peer with version %d cannot apply %+v", version(peer), last)
