Say which functions of the reader need its lock, and what its fields hold

Cause, on reading the change as a newcomer: three functions did not say that the lock is held, and two comments were unclear.

--- a/internal/inventory/path.go
+++ b/internal/inventory/path.go
@@ -17,7 +17,8 @@
 	// another host takes over add up to less than the 2 s of a change.
 	minPatience = 500 * time.Millisecond
 	maxPatience = 2500 * time.Millisecond
-	// slowFactor is the patience in answers of a slow store.
+	// slowFactor is the patience as a multiple of the time that the last answer
+	// took.
 	slowFactor = 3
 	// lostAfter is how long calls have to fail before the store counts as lost.
 	lostAfter = 300 * time.Millisecond
@@ -59,7 +60,7 @@
 	return !since.IsZero() && now.Sub(since) >= lostAfter
 }
 
-// isSilent reports whether probes fail.
+// isSilent reports whether probes fail or wait for too long.
 func (p *path) isSilent() bool { return !p.probesLostAt.IsZero() }
 
 // isProven reports whether an answer came lately, so that a call is worth its
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -62,10 +62,12 @@
 	state *State
 	// heardAt is when a collection was last known to be up to date.
 	heardAt map[Collection]time.Time
-	path    *path
+	// path is the judgement whether the store serves this host.
+	path *path
 	// proven is closed, and replaced, when a probe is answered.
 	proven chan struct{}
-	// reading and lost are the role and the judgement that were logged.
+	// reading and lost are the role and the judgement of the last step of
+	// supervise.
 	reading, lost bool
 	// cancelWatch ends the watch of a collection that is not trusted any more.
 	cancelWatch map[Collection]context.CancelFunc
--- a/internal/inventory/supervise.go
+++ b/internal/inventory/supervise.go
@@ -24,6 +24,7 @@
 	return r.isWorthACall(asOf)
 }
 
+// isWorthACall is mayCall with the lock held.
 func (r *Reader) isWorthACall(asOf uint64) bool {
 	if asOf == 0 {
 		return !r.path.isSilent()
@@ -82,6 +83,7 @@
 	}
 }
 
+// logRole is called with the lock held.
 func (r *Reader) logRole(reading bool) {
 	switch {
 	case reading && !r.reading:
@@ -105,6 +107,7 @@
 	return now, true
 }
 
+// needsProof is called with the lock held.
 func (r *Reader) needsProof() bool { return r.reading || !r.path.lostSince().IsZero() }
 
 func (r *Reader) untilNextStep() time.Duration {
