--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -3,8 +3,11 @@
 package events
 
 import (
+	"fmt"
 	"io"
+	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -91,6 +94,34 @@
 	l.logger.WithFields(values).Log(event.info.Level, event.info.Name)
 }
 
+// RecoverPanic ends a panic and logs it. It is deferred by what handles one request
+// or one message, so that a fault in one of them does not end the process. Locks
+// that are held have to be released by deferred calls, too.
+func (l *Log) RecoverPanic(subject string) {
+	if cause := recover(); cause != nil {
+		l.Emit(PanicRecovered, Subject(subject), Reason(fmt.Errorf("%v at %s", cause, panicSite())))
+	}
+}
+
+// panicSite returns the place in the source at which the current panic began.
+func panicSite() string {
+	const maxFrames = 16
+	callers := make([]uintptr, maxFrames)
+	frames := runtime.CallersFrames(callers[:runtime.Callers(1, callers)])
+	panicking := false
+	for {
+		frame, more := frames.Next()
+		inRuntime := strings.HasPrefix(frame.Function, "runtime.")
+		if panicking && !inRuntime {
+			return frame.Function + ":" + strconv.Itoa(frame.Line)
+		}
+		panicking = panicking || inRuntime
+		if !more {
+			return "unknown"
+		}
+	}
+}
+
 // DebugEnabled reports whether the debug level is logged.
 func (l *Log) DebugEnabled() bool { return l != nil && l.logger.IsLevelEnabled(logrus.DebugLevel) }
 
--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -17,6 +17,7 @@
 	SettingsRefused  ID = 1006
 
 	RequestsUnfinished ID = 1007
+	PanicRecovered     ID = 1008
 
 	ConfigInForce     ID = 1100
 	ConfigRefused     ID = 1101
@@ -115,6 +116,7 @@
 	{EventsDropped, logrus.WarnLevel, "events-dropped", fields(FieldCount), "Lines that the rate limit dropped and no later line reported."},
 
 	{RequestsUnfinished, logrus.WarnLevel, "requests-unfinished", fields(FieldHost, FieldCount), "The grace period of a shutdown ended while this many requests of the host were still running on backend servers."},
+	{PanicRecovered, logrus.ErrorLevel, "panic-recovered", fields(FieldSubject, FieldReason), "A fault of the program ended the handling of one request or message, which is the subject; the process continues. The reason has the place in the source."},
 
 	{SettingsReloaded, logrus.InfoLevel, "settings-reloaded", nil, "Changed settings were applied."},
 	{SettingsRefused, logrus.WarnLevel, "settings-refused", fields(FieldReason), "Changed settings, or a part of them, were not applied; the old ones stay active."},
--- a/internal/host/crash.go
+++ b/internal/host/crash.go
@@ -9,7 +9,6 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
-	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/quarantine"
 )
@@ -215,7 +214,7 @@
 		defer close(verified)
 		h.verifyReachable(r.server, b)
 	}()
-	if r.route.Kind != fleet.Idempotent || r.sentAttempts >= r.route.MaxAttempts {
+	if !r.route.Kind.MayRepeat() || r.sentAttempts >= r.route.MaxAttempts {
 		return
 	}
 	select {
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -29,12 +29,7 @@
 // dispatch waits until the scheduler has decided on a job. The verdict has
 // neither a server nor a refusal if the context ended first.
 func (h *Host) dispatch(ctx context.Context, job *scheduler.Job) (scheduler.Verdict, *scheduler.Job) {
-	decided := make(chan scheduler.Verdict, 1)
-	h.mu.Lock()
-	h.waiters[job] = decided
-	h.deliver(h.scheduler.Submit(time.Now(), job))
-	h.scheduleTick()
-	h.mu.Unlock()
+	decided := h.submit(job)
 	select {
 	case v := <-decided:
 		return v, job
@@ -52,6 +47,17 @@
 	return scheduler.Verdict{Job: job}, job
 }
 
+// submit adds a job to the scheduler. The channel receives the verdict on it.
+func (h *Host) submit(job *scheduler.Job) <-chan scheduler.Verdict {
+	decided := make(chan scheduler.Verdict, 1)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiters[job] = decided
+	h.deliver(h.scheduler.Submit(time.Now(), job))
+	h.scheduleTick()
+	return decided
+}
+
 // deliver sends verdicts to the requests that wait for them. It is called with
 // mu held.
 func (h *Host) deliver(verdicts []scheduler.Verdict) {
@@ -74,6 +80,7 @@
 	}
 	h.tickScheduled = true
 	time.AfterFunc(tickInterval, func() {
+		defer h.Log.RecoverPanic("scheduler tick")
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.tickScheduled = false
@@ -90,6 +97,14 @@
 	h.scheduleUseReport()
 }
 
+// releaseJob frees the slot of an attempt that has ended without a report of its
+// end, which is after a panic.
+func (h *Host) releaseJob(job *scheduler.Job) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deliver(h.scheduler.Done(time.Now(), job, scheduler.Abandoned, nil))
+}
+
 // exchange sends a request to a server and reads its response.
 func (h *Host) exchange(ctx context.Context, server string, req upstream.Request) (*upstream.Response, error) {
 	h.mu.Lock()
@@ -124,7 +139,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	h.scheduler.SetCold(server, now.Add(left))
+	h.scheduler.SetCold(server, now.Add(min(left, maxColdTime)))
 	h.scheduler.LimitCold(now, func(id string) int { return h.coldLimit(view, view.Servers[id]) })
 }
 
@@ -185,7 +200,8 @@
 		Target:        service.HealthPath,
 		Host:          b.address,
 		Header:        http.Header{},
-		MatchResponse: func(http.Header) upstream.Match { return upstream.Matching },
+		MatchResponse: func(header http.Header) upstream.Match { return h.Protocol.MatchResponse(header, "") },
+		OwnConnection: true,
 	}, func(time.Duration) {})
 	h.Metrics.Add("probes", 1)
 	if err != nil {
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -74,13 +74,9 @@
 }
 
 func (h *Host) sendHeartbeats(socket net.PacketConn) {
+	defer h.Log.RecoverPanic("heartbeats")
 	now := time.Now()
-	storeLost := h.reader.StoreLost()
-	h.rosterMu.Lock()
-	h.roster.SetState(h.state(), storeLost)
-	self := h.roster.Self()
-	messages := h.roster.Heartbeats(now, h.slotsPerRegion())
-	h.rosterMu.Unlock()
+	self, messages := h.nextHeartbeats(now, h.reader.StoreLost())
 	h.checkReaders(now)
 	for _, m := range messages {
 		heartbeat := &wirepb.Heartbeat{Self: heartbeatToWire(self, 0), Collections: h.collectionStates(), Suspects: h.crashes.notices(now)}
@@ -94,6 +90,14 @@
 	}
 }
 
+// nextHeartbeats returns this host's own heartbeat and the messages of one interval.
+func (h *Host) nextHeartbeats(now time.Time, storeLost bool) (roster.Heartbeat, []roster.Message) {
+	h.rosterMu.Lock()
+	defer h.rosterMu.Unlock()
+	h.roster.SetState(h.state(), storeLost)
+	return h.roster.Self(), h.roster.Heartbeats(now, h.slotsPerRegion())
+}
+
 // omitStaticFields clears the fields that do not change while a host runs.
 func omitStaticFields(b *wirepb.HostBeat) {
 	b.Region, b.FailureDomain, b.PeerAddress, b.CallerAddress = "", "", "", ""
@@ -136,25 +140,37 @@
 			// The socket also reports unreachable peers; it stays usable.
 			continue
 		}
-		var message wirepb.Heartbeat
-		if err := proto.Unmarshal(buffer[:n], &message); err != nil {
-			h.Metrics.Add("invalid_input", 1)
-			continue
-		}
-		h.handleHeartbeat(&message)
+		h.receiveDatagram(buffer[:n])
 	}
 }
 
-func (h *Host) handleHeartbeat(message *wirepb.Heartbeat) {
-	now := time.Now()
-	sender := heartbeatFromWire(message.GetSelf())
+func (h *Host) receiveDatagram(datagram []byte) {
+	defer h.Log.RecoverPanic("heartbeat")
+	var message wirepb.Heartbeat
+	if err := proto.Unmarshal(datagram, &message); err != nil {
+		h.Metrics.Add("invalid_input", 1)
+		return
+	}
+	h.handleHeartbeat(&message)
+}
+
+// updateRoster merges the heartbeats in a message. It returns the sender's
+// previous heartbeat.
+func (h *Host) updateRoster(now time.Time, sender roster.Heartbeat, others []*wirepb.HostBeat) (before roster.Heartbeat) {
 	h.rosterMu.Lock()
-	before, _ := h.roster.Peer(sender.ID)
+	defer h.rosterMu.Unlock()
+	before, _ = h.roster.Peer(sender.ID)
 	h.roster.Receive(now, sender, 0)
-	for _, other := range message.GetOthers() {
+	for _, other := range others {
 		h.roster.Receive(now, heartbeatFromWire(other), time.Duration(other.GetAgeMillis())*time.Millisecond)
 	}
-	h.rosterMu.Unlock()
+	return before
+}
+
+func (h *Host) handleHeartbeat(message *wirepb.Heartbeat) {
+	now := time.Now()
+	sender := heartbeatFromWire(message.GetSelf())
+	before := h.updateRoster(now, sender, message.GetOthers())
 	for _, notice := range message.GetSuspects() {
 		h.crashes.applyNotice(notice, now)
 	}
--- a/internal/host/pull.go
+++ b/internal/host/pull.go
@@ -170,6 +170,7 @@
 }
 
 func (h *Host) pull(ctx context.Context, client *wire.Client, address string, pulls []duePull) {
+	defer h.Log.RecoverPanic("snapshot from a peer")
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	h.Metrics.Add("pulls", 1)
@@ -188,7 +189,16 @@
 		}
 		return
 	}
-	for _, snapshot := range reply.GetSnapshotReply().GetCollections() {
+	h.applySnapshots(reply.GetSnapshotReply(), address, remote)
+}
+
+// applySnapshots applies the collections that a peer has sent. Changes of the
+// remote ones, which come from another region, are forwarded.
+func (h *Host) applySnapshots(reply *wirepb.SnapshotReply, address string, remote map[inventory.Collection]bool) {
+	for _, snapshot := range reply.GetCollections() {
+		if !h.isWatched(snapshot.GetCollection()) {
+			continue
+		}
 		batch := inventory.Batch{Revision: snapshot.GetAsOf()}
 		for _, o := range snapshot.GetObjects() {
 			batch.Objects = append(batch.Objects, objectFromWire(o))
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -75,7 +75,10 @@
 }
 
 // serveCall handles a request of a caller.
-func (h *Host) serveCall(ctx context.Context, req *callers.Request) callers.Response {
+func (h *Host) serveCall(ctx context.Context, req *callers.Request) (resp callers.Response) {
+	// The response after a panic: the request may have run.
+	resp = emptyResponse(http.StatusBadGateway)
+	defer h.Log.RecoverPanic("request")
 	view := h.reader.View()
 	if view.Config == nil {
 		return notRunResponse(notReadyRetryAfter)
@@ -102,9 +105,9 @@
 	r.service = h.splitterOf(route).next()
 	r.object = r.placedObject()
 	h.retryBudgetOf(r.service).FirstAttempt(req.Received)
-	resp, code := r.serve(ctx)
-	r.finish(resp, code)
-	return resp
+	final, code := r.serve(ctx)
+	r.finish(final, code)
+	return final
 }
 
 func hostName(hostPort string) string {
@@ -192,7 +195,7 @@
 		r.unsentAttempts++
 		return r.unsentAttempts < maxUnsentAttempts
 	}
-	if !f.notRun && r.route.Kind != fleet.Idempotent {
+	if !f.notRun && !r.route.Kind.MayRepeat() {
 		return false
 	}
 	if r.sentAttempts >= r.route.MaxAttempts {
@@ -214,6 +217,7 @@
 			events.Generation(model.Generation(r.version)), events.Reason(verdictReason(verdict)),
 		}
 	})
+	defer r.host.releaseJob(job)
 	ctx, cancel := r.attemptContext(ctx, verdict)
 	defer cancel()
 	resp, err := r.host.exchange(ctx, verdict.Server, r.upstreamRequest(verdict.Server))
@@ -237,12 +241,13 @@
 // is no reason to cancel it.
 func (r *requestState) attemptContext(ctx context.Context, verdict scheduler.Verdict) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	if r.route.Kind != fleet.Idempotent || r.sentAttempts+1 >= r.route.MaxAttempts {
+	if !r.route.Kind.MayRepeat() || r.sentAttempts+1 >= r.route.MaxAttempts {
 		return ctx, cancel
 	}
 	overdue := max(overdueFactor*verdict.Expected, firstRunFactor*verdict.Longest, minOverdue)
 	retry := r.job()
 	go func() {
+		defer r.host.Log.RecoverPanic("overdue request")
 		for wait := overdue; sleepUnlessDone(ctx, wait); wait = overdueInterval {
 			if r.reserveMove(retry) {
 				cancel()
@@ -274,16 +279,19 @@
 		return false
 	}
 	now := time.Now()
-	h.mu.Lock()
-	possible := h.scheduler.CanStart(now, retry)
-	h.mu.Unlock()
-	if !possible || !h.retryBudgetOf(r.service).Retry(now) {
+	if !h.canStart(now, retry) || !h.retryBudgetOf(r.service).Retry(now) {
 		return false
 	}
 	r.moved.Store(true)
 	return true
 }
 
+func (h *Host) canStart(now time.Time, job *scheduler.Job) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.scheduler.CanStart(now, job)
+}
+
 func (r *requestState) upstreamRequest(server string) upstream.Request {
 	header := forwardedHeader(r.req.Header)
 	r.host.Protocol.EncodeForward(header, Forward{TimeLeft: time.Until(r.deadline), Server: server})
--- a/internal/host/storesync.go
+++ b/internal/host/storesync.go
@@ -114,6 +114,9 @@
 // in a heartbeat.
 func (h *Host) applyCollections(now time.Time, message *wirepb.Heartbeat) {
 	for _, pushed := range message.GetChanges() {
+		if !h.isWatched(pushed.GetCollection()) {
+			continue
+		}
 		change := inventory.Change{
 			Collection: inventory.Collection(pushed.GetCollection()),
 			Before:     inventory.Mark{Digest: pushed.GetFromDigest()},
@@ -134,6 +137,9 @@
 		return
 	}
 	for _, state := range message.GetCollections() {
+		if !h.isWatched(state.GetCollection()) {
+			continue
+		}
 		h.compareMark(inventory.Collection(state.GetCollection()), newerPeer{
 			address: peer.PeerAddress,
 			mark:    inventory.Mark{AsOf: state.GetAsOf(), Digest: state.GetDigest()},
@@ -143,11 +149,22 @@
 	}
 }
 
+// isWatched reports whether a number from a peer is that of a collection; others
+// are counted as invalid input.
+func (h *Host) isWatched(number uint32) bool {
+	if inventory.Collection(number).IsWatched() {
+		return true
+	}
+	h.Metrics.Add("invalid_input", 1)
+	return false
+}
+
 // snapshotHandler serves the snapshots that peers pull.
 type snapshotHandler struct{ host *Host }
 
 // Handle implements wire.Handler.
 func (s snapshotHandler) Handle(_ context.Context, _ *wirepb.Hello, env *wirepb.Envelope, stream *wire.Stream) {
+	defer s.host.Log.RecoverPanic("snapshot pull")
 	if env.GetSnapshotPull() == nil {
 		_ = stream.Send(wire.FailureEnvelope(result.UnknownMessage, "only snapshots are served"))
 		return
--- a/internal/host/usereport.go
+++ b/internal/host/usereport.go
@@ -28,19 +28,24 @@
 }
 
 func (h *Host) reportUse() {
+	defer h.Log.RecoverPanic("use report")
 	now := time.Now()
+	h.sendUseReport(now, h.takeUseReport(now))
+}
+
+// takeUseReport returns what to report, and schedules the next report.
+func (h *Host) takeUseReport(now time.Time) []scheduler.ServerUse {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	all := now.Sub(h.lastFullUseReport) >= fullUseReportInterval
 	if all {
 		h.lastFullUseReport = now
 	}
-	uses := h.scheduler.Report(all)
 	h.useReportScheduled = false
 	if h.scheduler.Running() > 0 {
 		h.scheduleUseReport()
 	}
-	h.mu.Unlock()
-	h.sendUseReport(now, uses)
+	return h.scheduler.Report(all)
 }
 
 func (h *Host) sendUseReport(now time.Time, uses []scheduler.ServerUse) {
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -24,6 +24,9 @@
 	// coldSafetyFactor is the part of a cold server's bound that is used, because
 	// the views of the hosts that share the server may differ for a moment.
 	coldSafetyFactor = 0.5
+	// maxColdTime bounds the time for which a server may say that it stays cold: a
+	// number beyond is a fault, and must not keep the server unused.
+	maxColdTime = time.Minute
 )
 
 // applyView applies a new view to the scheduler and the connections. The
@@ -122,7 +125,7 @@
 	if b.coldRevision != server.Revision {
 		b.coldRevision, b.coldSeen = server.Revision, now
 	}
-	return b.coldSeen.Add(server.ColdRemaining)
+	return b.coldSeen.Add(min(server.ColdRemaining, maxColdTime))
 }
 
 func later(a, b time.Time) time.Time {
@@ -174,6 +177,7 @@
 }
 
 func (h *Host) housekeep(now time.Time) {
+	defer h.Log.RecoverPanic("housekeeping")
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.applyCold(now, h.reader.View())
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -11,6 +11,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
@@ -31,9 +33,17 @@
 // WatchedCollections are the collections that a reader of the store watches.
 var WatchedCollections = []Collection{Configuration, Servers, Evacuations}
 
+// IsWatched reports whether a reader of the store watches the collection. It is
+// false for a number that another program sent and that is no collection.
+func (c Collection) IsWatched() bool { return slices.Contains(WatchedCollections, c) }
+
 // String returns the collection's name as it is logged.
 func (c Collection) String() string {
-	return [...]string{"configuration", "servers", "evacuations", "hosts"}[c]
+	names := [...]string{"configuration", "servers", "evacuations", "hosts"}
+	if c < 0 || int(c) >= len(names) {
+		return "unknown collection " + strconv.Itoa(int(c))
+	}
+	return names[c]
 }
 
 // Object is one object of the store.
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -131,13 +131,24 @@
 func (r *Reader) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, c := range WatchedCollections {
-		wg.Go(func() { r.readCollection(ctx, c) })
+		wg.Go(func() { r.keepRunning(ctx, c.String(), func() { r.readCollection(ctx, c) }) })
 	}
-	wg.Go(func() { r.runExpiry(ctx) })
-	wg.Go(func() { r.supervise(ctx) })
+	wg.Go(func() { r.keepRunning(ctx, "expiry", func() { r.runExpiry(ctx) }) })
+	wg.Go(func() { r.keepRunning(ctx, "supervision", func() { r.supervise(ctx) }) })
 	wg.Wait()
 }
 
+// keepRunning runs a loop until ctx ends, and starts it again after a panic.
+func (r *Reader) keepRunning(ctx context.Context, subject string, loop func()) {
+	for ctx.Err() == nil {
+		func() {
+			defer r.log.RecoverPanic(subject)
+			loop()
+		}()
+		sleep(ctx, maxRetryPause)
+	}
+}
+
 func (r *Reader) runExpiry(ctx context.Context) {
 	tick := time.NewTicker(expireInterval)
 	defer tick.Stop()
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"fmt"
 	"maps"
 	"strconv"
 	"time"
@@ -71,7 +72,7 @@
 // ApplyListing replaces a whole collection. A listing that is older than the
 // current content changes nothing.
 func (s *State) ApplyListing(now time.Time, c Collection, batch Batch) {
-	if batch.Revision < s.asOf[c] {
+	if batch.Revision < s.asOf[c] || !c.IsWatched() {
 		return
 	}
 	s.openLapseWindow(now, c)
@@ -106,15 +107,22 @@
 	return changes
 }
 
-// ApplyChanges applies the changes of a collection.
+// ApplyChanges applies the changes of a collection. Changes that the content
+// includes already are skipped: a peer may have reported later ones, and a server
+// that has left would be used again.
 func (s *State) ApplyChanges(now time.Time, c Collection, batch Batch) {
+	if !c.IsWatched() {
+		return
+	}
 	s.openLapseWindow(now, c)
 	for _, o := range batch.Objects {
-		if o.Deleted {
+		known, ok := s.objects[c][o.Name]
+		switch {
+		case o.Deleted && (!ok || known.Revision <= o.Revision || o.Revision == 0):
 			s.remove(now, c, o.Name)
-			continue
+		case !o.Deleted && o.Revision > s.asOf[c]:
+			s.put(now, c, o)
 		}
-		s.put(now, c, o)
 	}
 	s.confirm(c, batch.Revision)
 }
@@ -163,7 +171,7 @@
 	case Configuration:
 		s.putConfig(o)
 	case Servers:
-		server, err := s.decoder.Server(o)
+		server, err := s.decodeServer(o)
 		if err != nil {
 			s.onSkip(c, o, err)
 			s.remove(now, c, o.Name)
@@ -177,10 +185,28 @@
 	s.setObject(c, o)
 }
 
+// decodeServer decodes an entry of the list of servers. An entry for which the
+// decoder panics is skipped like any other that can't be decoded.
+func (s *State) decodeServer(o Object) (server fleet.BackendServer, err error) {
+	defer recoverDecode(&err)
+	return s.decoder.Server(o)
+}
+
+func (s *State) decodeConfig(o Object) (config *fleet.Config, err error) {
+	defer recoverDecode(&err)
+	return s.decoder.Config(o)
+}
+
+func recoverDecode(err *error) {
+	if cause := recover(); cause != nil {
+		*err = fmt.Errorf("decoder panicked: %v", cause)
+	}
+}
+
 // putConfig applies a configuration unless its version is lower than the current
 // one.
 func (s *State) putConfig(o Object) {
-	config, err := s.decoder.Config(o)
+	config, err := s.decodeConfig(o)
 	if err != nil {
 		s.onSkip(Configuration, o, err)
 		return
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -36,8 +36,15 @@
 	// maxMismatched is how many late responses to earlier requests are skipped
 	// before the connection is closed.
 	maxMismatched = 2
+	// maxIdleTimeout bounds the timeout that a server states in its Keep-Alive
+	// header.
+	maxIdleTimeout = time.Hour
 )
 
+// errUnmarked is the failure of a request whose response cannot be told from a
+// copy of an earlier one.
+var errUnmarked = errors.New("response without a request ID on a connection that has carried another request")
+
 // conn is one connection. It is used for one request at a time.
 type conn struct {
 	raw     net.Conn
@@ -47,6 +54,8 @@
 	memory   *bounded.Budget
 	written  atomic.Int64
 	useUntil time.Time
+	// used is set once the connection has carried a request.
+	used bool
 }
 
 func newConn(raw net.Conn, memory *bounded.Budget) *conn {
@@ -89,6 +98,8 @@
 // the connection can carry another request.
 func (c *conn) roundTrip(ctx context.Context, req Request) (response *Response, reusable bool, err error) {
 	c.written.Store(0)
+	reused := c.used
+	c.used = true
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
 		if !stop() {
@@ -102,7 +113,7 @@
 		}
 		wrote <- nil
 	}
-	resp, err := c.readMatching(req)
+	resp, err := c.readMatching(req, reused)
 	if err != nil {
 		return nil, false, c.failure(ctx, err)
 	}
@@ -151,8 +162,10 @@
 }
 
 // readMatching returns the response to the request. It skips informational
-// responses and late responses to earlier requests.
-func (c *conn) readMatching(req Request) (*http.Response, error) {
+// responses and late responses to earlier requests. On a reused connection, a
+// response without a request ID may be a copy of the response to an earlier
+// request, so it says nothing about this one.
+func (c *conn) readMatching(req Request, reused bool) (*http.Response, error) {
 	for skipped, informational := 0, 0; ; {
 		c.limited.Left = maxHeaderBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
@@ -166,8 +179,11 @@
 			continue
 		}
 		c.limited.Left = maxResponseBytes
-		if req.MatchResponse(resp.Header) != Mismatched {
+		switch match := req.MatchResponse(resp.Header); {
+		case match == Matching, match == Unmarked && !reused && skipped == 0:
 			return resp, nil
+		case match == Unmarked:
+			return nil, errUnmarked
 		}
 		if skipped++; skipped > maxMismatched {
 			return nil, errors.New("too many responses to other requests")
@@ -217,7 +233,8 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			return max(time.Duration(seconds)*time.Second-idleTimeoutMargin, 0)
+			stated := time.Duration(min(max(seconds, 0), int(maxIdleTimeout/time.Second))) * time.Second
+			return max(stated-idleTimeoutMargin, 0)
 		}
 	}
 	return defaultIdleTimeout
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -64,6 +64,9 @@
 	Body   []byte
 	// MatchResponse compares the header of a response with the request.
 	MatchResponse func(http.Header) Match
+	// OwnConnection sends the request on a new connection, which carries no other
+	// request: for requests whose responses have no request ID.
+	OwnConnection bool
 }
 
 // Match reports whether a response belongs to the request.
@@ -75,7 +78,8 @@
 	Matching Match = iota
 	// Mismatched responses belong to an earlier request on the connection.
 	Mismatched
-	// Unmarked responses carry no request ID.
+	// Unmarked responses carry no request ID. They are accepted only as the first
+	// response on a connection.
 	Unmarked
 )
 
@@ -116,7 +120,10 @@
 // Do sends a request and reads the whole response. Every error is a *Failure.
 // dialed is called with the time that a new connection took to open.
 func (p *Pool) Do(ctx context.Context, req Request, dialed func(time.Duration)) (*Response, error) {
-	c := p.get(time.Now())
+	var c *conn
+	if !req.OwnConnection {
+		c = p.get(time.Now())
+	}
 	if c == nil {
 		start := time.Now()
 		var err error
@@ -126,7 +133,7 @@
 		dialed(time.Since(start))
 	}
 	resp, reusable, err := c.roundTrip(ctx, req)
-	if err != nil || !reusable {
+	if err != nil || !reusable || req.OwnConnection {
 		_ = c.raw.Close()
 		return resp, err
 	}
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -20,11 +20,16 @@
 	Once
 	// Upload marks requests with large bodies that run at most once.
 	Upload
+	// Download marks requests with large responses that may run more than once.
+	Download
 )
 
+// MayRepeat reports whether a request of the kind may run more than once.
+func (k Kind) MayRepeat() bool { return k == Idempotent || k == Download }
+
 // String returns the name of the kind.
 func (k Kind) String() string {
-	return [...]string{"idempotent", "once", "upload"}[k]
+	return [...]string{"idempotent", "once", "upload", "download"}[k]
 }
 
 // Part is one service of a split route with its relative weight.
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -42,6 +42,10 @@
 	// initialServiceTime is the service time assumed of a server until it has
 	// responded.
 	initialServiceTime = 250 * time.Millisecond
+	// maxLoadPerSlot bounds the load that a server may report. A server queues a
+	// few requests per slot; a number beyond is a fault of the report, and without
+	// a bound the server would get no requests for as long as it takes to decay.
+	maxLoadPerSlot = 8
 )
 
 // Server describes a backend server to the scheduler.
@@ -224,7 +228,8 @@
 	delete(server.running, job)
 	s.updateEstimates(now, server, job, result)
 	if load != nil {
-		server.otherLoad.set(now, max(float64(load.Running+load.Waiting-own-server.peerRunning(now)), 0))
+		reported := min(max(load.Running, 0), maxLoadPerSlot*server.Slots) + min(max(load.Waiting, 0), maxLoadPerSlot*server.Slots)
+		server.otherLoad.set(now, max(float64(reported-own-server.peerRunning(now)), 0))
 	}
 	return s.decideWaiting(now, s.service(job.Service))
 }
