Wait for the check of a lost server before the same content is sent again

The check is now part of the guard's state: a request with the same content waits for it, 0.2 s at most, and the conviction is looked at again when a server is granted.

--- a/internal/host/crash.go
+++ b/internal/host/crash.go
@@ -50,6 +50,9 @@
 	losses *quarantine.Losses
 	// recent holds the changes that are reported to peers.
 	recent map[quarantine.Hash]statusChange
+	// checks has, for each request whose connection was lost, a channel that is
+	// closed once it is known whether the server has crashed.
+	checks map[quarantine.Hash]<-chan struct{}
 }
 
 type statusChange struct {
@@ -62,15 +65,40 @@
 		table:  quarantine.NewTable(maxSuspects, quarantine.Lifetimes{Suspect: suspectFor, Convicted: convictedFor}),
 		losses: quarantine.NewLosses(),
 		recent: make(map[quarantine.Hash]statusChange),
+		checks: make(map[quarantine.Hash]<-chan struct{}),
 	}
 }
 
-// hasEntries reports whether any request is suspect or convicted. If none is,
-// requests are forwarded without hashing their content.
+// hasEntries reports whether any request is suspect, convicted or being checked.
+// If none is, requests are forwarded without hashing their content.
 func (g *crashGuard) hasEntries() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Len() > 0
+	return g.table.Len()+len(g.checks) > 0
+}
+
+// beginCheck records that it is being checked whether a request has crashed its
+// server. The check ends when the returned function is called.
+func (g *crashGuard) beginCheck(h quarantine.Hash) (done <-chan struct{}, end func()) {
+	checked := make(chan struct{})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.checks[h] = checked
+	return checked, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.checks[h] == checked {
+			delete(g.checks, h)
+		}
+		close(checked)
+	}
+}
+
+// runningCheck returns the check of a request, or nil.
+func (g *crashGuard) runningCheck(h quarantine.Hash) <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.checks[h]
 }
 
 func (g *crashGuard) isConvicted(h quarantine.Hash, now time.Time) bool {
@@ -185,6 +213,31 @@
 	return g.hasEntries() && g.isConvicted(r.contentHash(), time.Now())
 }
 
+// awaitCheck waits, at most verifyWait, while it is being checked whether the same
+// content has crashed a server: a caller that resends at once would otherwise reach
+// a further server before the content is convicted.
+func (r *requestState) awaitCheck() {
+	g := r.host.crashes
+	if !g.hasEntries() {
+		return
+	}
+	waitAtMost(g.runningCheck(r.contentHash()), verifyWait)
+}
+
+// waitAtMost waits until a channel is closed, at most for d. It does not wait for a
+// nil channel.
+func waitAtMost(done <-chan struct{}, d time.Duration) {
+	if done == nil {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
 // recordCompletion clears the request if it is a suspect.
 func (r *requestState) recordCompletion() {
 	if g := r.host.crashes; g.hasEntries() {
@@ -209,17 +262,14 @@
 	if !due {
 		return
 	}
-	verified := make(chan struct{})
+	verified, end := h.crashes.beginCheck(r.contentHash())
+	server := r.server
 	go func() {
-		defer close(verified)
-		h.verifyReachable(r.server, b)
+		defer end()
+		h.verifyReachable(server, b)
 	}()
-	if !r.route.Kind.MayRepeat() || r.sentAttempts >= r.route.MaxAttempts {
-		return
-	}
-	select {
-	case <-verified:
-	case <-time.After(verifyWait):
+	if r.route.Kind.MayRepeat() && r.sentAttempts < r.route.MaxAttempts {
+		waitAtMost(verified, verifyWait)
 	}
 }
 
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -138,13 +138,19 @@
 	ctx, cancel := context.WithDeadline(ctx, r.timeoutAt)
 	defer cancel()
 	for {
+		r.awaitCheck()
 		if r.isConvicted() {
-			return r.failureResponse(&attemptFailure{err: errConvicted, notRun: !r.mayHaveRun, code: result.Quarantined, retryAfter: convictedRetryAfter})
+			return r.convictedResponse()
 		}
 		verdict, job := r.host.dispatch(ctx, r.job())
 		if verdict.Server == "" {
 			return r.refusalResponse(ctx, verdict)
 		}
+		if r.isConvicted() {
+			// It was convicted while it waited for a server.
+			r.host.releaseJob(job)
+			return r.convictedResponse()
+		}
 		resp, failure := r.send(ctx, job, verdict)
 		if failure == nil {
 			return *resp, result.Served
@@ -404,6 +410,10 @@
 	return r.failureResponse(&attemptFailure{err: refusalReason(v), notRun: true, code: codes[v.Refused], retryAfter: v.RetryAfter})
 }
 
+func (r *requestState) convictedResponse() (callers.Response, result.Code) {
+	return r.failureResponse(&attemptFailure{err: errConvicted, notRun: !r.mayHaveRun, code: result.Quarantined, retryAfter: convictedRetryAfter})
+}
+
 // failureResponse returns the final response to a request that no server
 // completed with success.
 func (r *requestState) failureResponse(f *attemptFailure) (callers.Response, result.Code) {
