Keep the order of hosts and the rankings of servers between choices

Cause: each lookup, message and request sorted all hosts or all servers of its service.

The order of a region's hosts depends only on region, failure domain and capacity, so it is made when hosts come, go or change; liveness and state are looked at when hosts are chosen. Only the first servers are ranked, and the rankings of objects are kept until servers are added or removed.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -39,12 +39,15 @@
 	callerRegions int
 	// total is the sum of slots of all regions.
 	total int
+	// weights has the weight of a slot of each region for objects of other regions
+	// (false) and of its own (true).
+	weights map[string]map[bool]float64
 }
 
 // NewView returns a view for callers that are spread evenly over callerRegions
 // regions.
 func NewView(members []Member, callerRegions int) *View {
-	v := &View{members: slices.Clone(members), slots: make(map[string]int), spare: make(map[string]float64), callerRegions: max(callerRegions, 1)}
+	v := &View{members: slices.Clone(members), slots: make(map[string]int), spare: make(map[string]float64), callerRegions: max(callerRegions, 1), weights: make(map[string]map[bool]float64)}
 	for _, m := range members {
 		v.slots[m.Region] += m.Slots
 		v.total += m.Slots
@@ -52,10 +55,17 @@
 	equal := float64(v.total) / float64(v.callerRegions)
 	for region, slots := range v.slots {
 		v.spare[region] = max(float64(slots)-equal, 0)
+		v.weights[region] = map[bool]float64{true: 1, false: v.remoteWeight(region)}
 	}
 	return v
 }
 
+// HasMembers reports whether a view of these members and regions of callers equals
+// this one.
+func (v *View) HasMembers(members []Member, callerRegions int) bool {
+	return v.callerRegions == max(callerRegions, 1) && slices.Equal(v.members, members)
+}
+
 // IsEmpty reports whether the service has no servers.
 func (v *View) IsEmpty() bool { return len(v.members) == 0 }
 
@@ -88,6 +98,11 @@
 	Regions []string
 }
 
+// Equal reports whether both are the same object with the same constraints.
+func (o Object) Equal(other Object) bool {
+	return o.Key == other.Key && o.Origin == other.Origin && o.StayLocal == other.StayLocal && slices.Equal(o.Regions, other.Regions)
+}
+
 // candidate is a member with its rank for one object: by group, then by score.
 type candidate struct {
 	id    string
@@ -98,31 +113,42 @@
 // Rank returns the IDs of up to n members in descending order of preference.
 func (v *View) Rank(o Object, n int) []string {
 	localFirst := o.StayLocal || unit(rendezvous.Score(o.Key, o.Origin)) < v.LocalShare(o.Origin)
-	candidates := make([]candidate, 0, len(v.members))
+	best := make([]candidate, 0, min(n, len(v.members))+1)
 	for _, m := range v.members {
 		if len(o.Regions) > 0 && !slices.Contains(o.Regions, m.Region) {
 			continue
 		}
 		local := m.Region == o.Origin
-		candidates = append(candidates, candidate{
-			id:    m.ID,
-			group: groupOf(local, localFirst),
-			score: score(o.Key, m, v.weight(m, local)),
-		})
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(b.score, a.score), strings.Compare(a.id, b.id))
-	})
-	if len(candidates) > n {
-		candidates = candidates[:n]
+		c := candidate{id: m.ID, group: groupOf(local, localFirst)}
+		if len(best) == n && c.group > best[n-1].group {
+			// The score of a member of the other group does not matter.
+			continue
+		}
+		c.score = score(o.Key, m, v.weights[m.Region][local])
+		best = insertBest(best, c, n)
 	}
-	ids := make([]string, len(candidates))
-	for i, c := range candidates {
+	ids := make([]string, len(best))
+	for i, c := range best {
 		ids[i] = c.id
 	}
 	return ids
 }
 
+// insertBest inserts a candidate into the best n, which are in order. It is faster
+// than sorting all candidates if few of them are wanted.
+func insertBest(best []candidate, c candidate, n int) []candidate {
+	if len(best) == n && (n == 0 || compareCandidates(c, best[n-1]) >= 0) {
+		return best
+	}
+	at, _ := slices.BinarySearchFunc(best, c, compareCandidates)
+	best = slices.Insert(best, at, c)
+	return best[:min(len(best), n)]
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.group, b.group), cmp.Compare(b.score, a.score), strings.Compare(a.id, b.id))
+}
+
 // groupOf returns 0 for members of the preferred group and 1 for the others.
 func groupOf(local, localFirst bool) int {
 	if local == localFirst {
@@ -131,22 +157,19 @@
 	return 1
 }
 
-// weight returns a member's slots, scaled by the spare share of its region for
-// objects of other regions.
-func (v *View) weight(m Member, local bool) float64 {
-	if local {
-		return float64(m.Slots)
-	}
+// remoteWeight returns the weight of a slot of a region for objects of other
+// regions: the spare share of the region.
+func (v *View) remoteWeight(region string) float64 {
 	// A region without spare capacity keeps a small weight, so that objects are
 	// placed even if every region is full.
 	const minShare = 0.02
-	return float64(m.Slots) * max(quantize(v.spare[m.Region]/float64(v.slots[m.Region])), minShare)
+	return max(quantize(v.spare[region]/float64(v.slots[region])), minShare)
 }
 
 // score returns the weighted rendezvous score. Choosing the member with the highest
 // score gives each member a share of the keys in proportion to its weight.
-func score(key string, m Member, weight float64) float64 {
-	return -weight / math.Log(unit(rendezvous.Score(key, m.ID)))
+func score(key string, m Member, slotWeight float64) float64 {
+	return -float64(m.Slots) * slotWeight / math.Log(unit(rendezvous.Score(key, m.ID)))
 }
 
 // unit maps a hash to the open interval (0, 1).
--- a/pkg/roster/readers.go
+++ b/pkg/roster/readers.go
@@ -21,25 +21,30 @@
 // order in which they are chosen. A host that receives heartbeats of no active
 // host reads the store itself.
 func (r *Roster) readerRanking(now time.Time) []Heartbeat {
-	candidates := []Heartbeat{r.self}
+	region := r.self.heartbeat.Region
 	isolated := true
 	for _, m := range r.members {
-		if m.heartbeat.Region != r.self.Region || m.heartbeat.State == Leaving {
-			continue
-		}
-		active := !m.heartbeat.Standby
-		if active && now.Sub(m.lastSeen) < readerTimeout || !active && r.isLive(now, m) {
-			candidates = append(candidates, m.heartbeat)
-			isolated = isolated && !active
+		if m.heartbeat.Region == region && !m.heartbeat.Standby && r.mayRead(now, m) {
+			isolated = false
+			break
 		}
 	}
 	if isolated {
-		return []Heartbeat{r.self}
+		return []Heartbeat{r.self.heartbeat}
 	}
-	if r.self.State == Leaving {
-		candidates = candidates[1:]
+	return r.orderOf(region, region+"/store").choose(maxReaders, func(m *member) bool { return r.mayRead(now, m) })
+}
+
+// mayRead reports whether a host of the region can be relied on to read the store.
+func (r *Roster) mayRead(now time.Time, m *member) bool {
+	switch {
+	case m.heartbeat.State == Leaving:
+		return false
+	case m == r.self || m.heartbeat.Standby:
+		return r.isLive(now, m)
+	default:
+		return now.Sub(m.lastSeen) < readerTimeout
 	}
-	return selectSpread(r.self.Region+"/store", candidates, maxReaders)
 }
 
 func firstReaders(hosts []Heartbeat) []Heartbeat { return hosts[:min(len(hosts), readersPerRegion)] }
@@ -60,5 +65,5 @@
 
 // IsReader reports whether this host reads the store for its region.
 func (r *Roster) IsReader(now time.Time) bool {
-	return containsHost(r.storeReaders(now), r.self.ID)
+	return containsHost(r.storeReaders(now), r.self.heartbeat.ID)
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -14,8 +14,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/wisteriacrank/wisteriacrank/pkg/rendezvous"
 )
 
 const (
@@ -104,6 +102,12 @@
 	Standby bool
 }
 
+// ordersLike reports whether both heartbeats give the host the same place in the
+// order of hosts.
+func (b Heartbeat) ordersLike(other Heartbeat) bool {
+	return b.Region == other.Region && b.Domain == other.Domain && b.Capacity == other.Capacity
+}
+
 // isFull reports whether the heartbeat includes the fields that do not change.
 func (b Heartbeat) isFull() bool { return b.PeerAddress != "" }
 
@@ -120,10 +124,12 @@
 
 // Roster is one host's view.
 type Roster struct {
-	self    Heartbeat
+	self    *member
 	seeds   []string
 	members map[string]*member
-	rng     *rand.Rand
+	// orders has the order of hosts for each key, until hosts come, go or change.
+	orders map[string]*order
+	rng    *rand.Rand
 	// newPeers are hosts whose first heartbeat has arrived; they may know no
 	// other host of their region.
 	newPeers []Heartbeat
@@ -134,21 +140,21 @@
 // New returns a roster that knows only this host and the addresses of seeds.
 func New(self Heartbeat, seeds []string, rng *rand.Rand) *Roster {
 	seeds = slices.DeleteFunc(slices.Clone(seeds), func(a string) bool { return a == self.PeerAddress })
-	return &Roster{self: self, seeds: seeds, members: make(map[string]*member), rng: rng}
+	return &Roster{self: &member{heartbeat: self}, seeds: seeds, members: make(map[string]*member), orders: make(map[string]*order), rng: rng}
 }
 
 // Self returns this host's own heartbeat.
-func (r *Roster) Self() Heartbeat { return r.self }
+func (r *Roster) Self() Heartbeat { return r.self.heartbeat }
 
 // SetState sets the state and the store status that this host reports.
 func (r *Roster) SetState(state State, storeLost bool) {
-	r.self.State, r.self.StoreLost = state, storeLost
+	r.self.heartbeat.State, r.self.heartbeat.StoreLost = state, storeLost
 }
 
 // AddSeeds adds the peer addresses of seeds.
 func (r *Roster) AddSeeds(addresses []string) {
 	for _, a := range addresses {
-		if a != r.self.PeerAddress && !slices.Contains(r.seeds, a) {
+		if a != r.self.heartbeat.PeerAddress && !slices.Contains(r.seeds, a) {
 			r.seeds = append(r.seeds, a)
 		}
 	}
@@ -156,7 +162,7 @@
 
 // Receive merges a heartbeat of the given age into the view.
 func (r *Roster) Receive(now time.Time, heartbeat Heartbeat, age time.Duration) {
-	if heartbeat.ID == "" || heartbeat.ID == r.self.ID {
+	if heartbeat.ID == "" || heartbeat.ID == r.self.heartbeat.ID {
 		return
 	}
 	seenAt := now.Add(-age)
@@ -166,6 +172,7 @@
 			return
 		}
 		r.members[heartbeat.ID] = &member{heartbeat: heartbeat, lastSeen: seenAt}
+		clear(r.orders)
 		if age == 0 && len(r.newPeers) < maxNewPeers {
 			r.newPeers = append(r.newPeers, heartbeat)
 		}
@@ -181,6 +188,9 @@
 	}
 	newer := heartbeat.Incarnation > known.heartbeat.Incarnation
 	if newer || heartbeat.Incarnation == known.heartbeat.Incarnation && seenAt.After(known.lastSeen) {
+		if !heartbeat.ordersLike(known.heartbeat) {
+			clear(r.orders)
+		}
 		known.heartbeat, known.lastSeen = heartbeat, seenAt
 	}
 }
@@ -205,9 +215,9 @@
 	}
 	active := r.active(now, slots)
 	justStarted := r.intervals < startupHeartbeats
-	r.self.Standby = len(local) >= smallRegionHosts && !justStarted && r.self.State == Ready && !containsHost(active, r.self.ID)
+	r.self.heartbeat.Standby = len(local) >= smallRegionHosts && !justStarted && r.self.heartbeat.State == Ready && !containsHost(active, r.self.heartbeat.ID)
 	var messages []Message
-	if r.self.Standby {
+	if r.self.heartbeat.Standby {
 		messages = r.standbyHeartbeats(active)
 	} else {
 		messages = []Message{r.localHeartbeat(now, local, justStarted)}
@@ -223,13 +233,13 @@
 // exchange heartbeats with other regions.
 func (r *Roster) active(now time.Time, slots int) []Heartbeat {
 	// The delegates are the first of the entry hosts.
-	return append(r.EntriesFor(now, r.self.Region, slots), r.storeReaders(now)...)
+	return append(r.EntriesFor(now, r.self.heartbeat.Region, slots), r.storeReaders(now)...)
 }
 
 // IsActive reports whether this host carries requests, reads the store or
 // exchanges heartbeats with other regions.
 func (r *Roster) IsActive(now time.Time, slots int) bool {
-	return containsHost(r.active(now, slots), r.self.ID)
+	return containsHost(r.active(now, slots), r.self.heartbeat.ID)
 }
 
 // IsAlone reports whether this host has no other host in its view.
@@ -298,7 +308,8 @@
 		switch {
 		case now.Sub(m.lastSeen) > removeAfter:
 			delete(r.members, id)
-		case m.heartbeat.Region == r.self.Region:
+			clear(r.orders)
+		case m.heartbeat.Region == r.self.heartbeat.Region:
 			local = append(local, m.heartbeat.PeerAddress)
 		default:
 			remote[m.heartbeat.Region] = true
@@ -308,14 +319,14 @@
 }
 
 func (r *Roster) isDelegate(now time.Time) bool {
-	return containsHost(r.Entries(now, r.self.Region, delegatesPerRegion), r.self.ID) || r.self.State != Ready
+	return containsHost(r.Entries(now, r.self.heartbeat.Region, delegatesPerRegion), r.self.heartbeat.ID) || r.self.heartbeat.State != Ready
 }
 
 // remoteHeartbeat returns the heartbeat to one delegate of each other region, or
 // to all its delegates if it is large: there, hosts learn of other regions only
 // from what the delegates forward.
 func (r *Roster) remoteHeartbeat(now time.Time, regions map[string]bool) Message {
-	message := Message{Full: true, Forwarded: r.forwardable(now, r.self.Region)}
+	message := Message{Full: true, Forwarded: r.forwardable(now, r.self.heartbeat.Region)}
 	for _, region := range slices.Sorted(maps.Keys(regions)) {
 		contacts := r.contacts(now, region)
 		if len(r.hostsOf(region)) < smallRegionHosts {
@@ -338,7 +349,7 @@
 
 // LocalPeers returns the peer addresses of the other live hosts of the region.
 func (r *Roster) LocalPeers(now time.Time) []string {
-	live := slices.DeleteFunc(r.Live(now), func(b Heartbeat) bool { return b.Region != r.self.Region || b.ID == r.self.ID })
+	live := slices.DeleteFunc(r.Live(now), func(b Heartbeat) bool { return b.Region != r.self.heartbeat.Region || b.ID == r.self.heartbeat.ID })
 	return peerAddresses(live)
 }
 
@@ -348,12 +359,12 @@
 func (r *Roster) Delegates(now time.Time) []string {
 	regionSet := make(map[string]bool)
 	for _, m := range r.members {
-		if m.heartbeat.Region != r.self.Region {
+		if m.heartbeat.Region != r.self.heartbeat.Region {
 			regionSet[m.heartbeat.Region] = true
 		}
 	}
 	regions := slices.Sorted(maps.Keys(regionSet))
-	next, _ := slices.BinarySearch(regions, r.self.Region)
+	next, _ := slices.BinarySearch(regions, r.self.heartbeat.Region)
 	var addresses []string
 	for i := range min(notifiedRegions, len(regions)) {
 		region := regions[(next+i)%len(regions)]
@@ -399,7 +410,7 @@
 	}
 	entries := make(map[string]bool)
 	for liveRegion := range regions {
-		if liveRegion != r.self.Region || region != "" {
+		if liveRegion != r.self.heartbeat.Region || region != "" {
 			for _, b := range r.Entries(now, liveRegion, delegatesPerRegion) {
 				entries[b.ID] = true
 			}
@@ -409,7 +420,7 @@
 		switch {
 		case entries[i.ID]:
 			return 0
-		case i.Region == r.self.Region:
+		case i.Region == r.self.heartbeat.Region:
 			return 1
 		}
 		return 2
@@ -430,11 +441,14 @@
 }
 
 func (r *Roster) isLive(now time.Time, m *member) bool {
+	if m == r.self {
+		return true
+	}
 	limit := RemoteTimeout
 	switch {
-	case m.heartbeat.Region == r.self.Region && m.heartbeat.Standby:
+	case m.heartbeat.Region == r.self.heartbeat.Region && m.heartbeat.Standby:
 		limit = StandbyTimeout
-	case m.heartbeat.Region == r.self.Region:
+	case m.heartbeat.Region == r.self.heartbeat.Region:
 		limit = LocalTimeout
 	}
 	return now.Sub(m.lastSeen) < limit
@@ -443,7 +457,7 @@
 // Live returns the hosts whose heartbeats are recent, this one included, sorted
 // by ID.
 func (r *Roster) Live(now time.Time) []Heartbeat {
-	live := []Heartbeat{r.self}
+	live := []Heartbeat{r.self.heartbeat}
 	for _, m := range r.members {
 		if r.isLive(now, m) {
 			live = append(live, m.heartbeat)
@@ -457,13 +471,9 @@
 // domains. Hosts with the same view choose the same ones, and few change when
 // a host comes or goes.
 func (r *Roster) Entries(now time.Time, region string, count int) []Heartbeat {
-	var ready []Heartbeat
-	for _, host := range r.Live(now) {
-		if host.Region == region && host.State == Ready {
-			ready = append(ready, host)
-		}
-	}
-	return selectSpread(region, ready, count)
+	return r.orderOf(region, region).choose(count, func(m *member) bool {
+		return m.heartbeat.State == Ready && r.isLive(now, m)
+	})
 }
 
 // EntriesFor returns the hosts that carry the requests for the given number of
@@ -481,41 +491,3 @@
 	}
 	return ready[:best]
 }
-
-// selectSpread chooses up to count hosts: those of the highest capacity first, and
-// among equals by rendezvous hashing, in turn from each failure domain.
-func selectSpread(key string, hosts []Heartbeat, count int) []Heartbeat {
-	byCapacity := make(map[int][]Heartbeat)
-	for _, host := range hosts {
-		byCapacity[host.Capacity] = append(byCapacity[host.Capacity], host)
-	}
-	capacities := slices.Sorted(maps.Keys(byCapacity))
-	slices.Reverse(capacities)
-	var chosen []Heartbeat
-	for _, capacity := range capacities {
-		chosen = append(chosen, spreadOverDomains(key, byCapacity[capacity], count-len(chosen))...)
-	}
-	return chosen
-}
-
-func spreadOverDomains(key string, hosts []Heartbeat, count int) []Heartbeat {
-	byDomain := make(map[string][]Heartbeat)
-	for _, host := range hosts {
-		byDomain[host.Domain] = append(byDomain[host.Domain], host)
-	}
-	for _, domainHosts := range byDomain {
-		slices.SortFunc(domainHosts, func(a, b Heartbeat) int {
-			return cmp.Compare(rendezvous.Score(key, b.ID), rendezvous.Score(key, a.ID))
-		})
-	}
-	domains := slices.Sorted(maps.Keys(byDomain))
-	var chosen []Heartbeat
-	for round := 0; len(chosen) < min(count, len(hosts)); round++ {
-		for _, domain := range domains {
-			if round < len(byDomain[domain]) && len(chosen) < count {
-				chosen = append(chosen, byDomain[domain][round])
-			}
-		}
-	}
-	return chosen
-}
--- a/pkg/scheduler/choice.go
+++ b/pkg/scheduler/choice.go
@@ -2,7 +2,10 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/placement"
 )
 
 const (
@@ -19,6 +22,11 @@
 	// for those of another region until a connection to it has been timed.
 	sameRegionRTT    = 3 * time.Millisecond
 	defaultRegionRTT = 50 * time.Millisecond
+	// rankedServers is the number of servers that are ranked for an object. All are
+	// ranked only if too few of these are usable.
+	rankedServers = 4 * candidateCount
+	// maxRankings bounds the rankings that are kept per service: about 1 MB.
+	maxRankings = 4096
 )
 
 // option is a server with its expected cost for a job.
@@ -62,9 +70,19 @@
 // candidates returns the usable servers that rank highest for the job.
 func (s *Scheduler) candidates(now time.Time, svc *service, job *Job) []*server {
 	if job.rankingView != svc.view {
+		job.ranking, job.rankingView = svc.rank(job), svc.view
+	}
+	usable := s.usable(now, job)
+	if len(usable) < candidateCount && len(job.ranking) == rankedServers {
 		const all = 1 << 30
-		job.ranking, job.rankingView = svc.view.Rank(job.Object, all), svc.view
+		job.ranking = svc.view.Rank(job.Object, all)
+		usable = s.usable(now, job)
 	}
+	return usable
+}
+
+// usable returns the first servers of the job's ranking that may get it.
+func (s *Scheduler) usable(now time.Time, job *Job) []*server {
 	usable := make([]*server, 0, candidateCount)
 	for _, id := range job.ranking {
 		server := s.servers[id]
@@ -79,6 +97,42 @@
 	return usable
 }
 
+// rankedObject is the ranking of an object that was requested before.
+type rankedObject struct {
+	object  placement.Object
+	servers []string
+}
+
+// rank returns the first servers for the job's object. The rankings of objects that
+// are requested again are kept, because ranking takes time in proportion to the
+// number of servers.
+func (svc *service) rank(job *Job) []string {
+	if !job.Sticky {
+		return svc.view.Rank(job.Object, rankedServers)
+	}
+	known, ok := svc.rankings[job.Object.Key]
+	if ok && known.object.Equal(job.Object) {
+		return known.servers
+	}
+	if len(svc.rankings) >= maxRankings {
+		clear(svc.rankings)
+	}
+	servers := svc.view.Rank(job.Object, rankedServers)
+	svc.rankings[job.Object.Key] = rankedObject{object: job.Object, servers: servers}
+	return servers
+}
+
+// setMembers replaces the servers of the service. Objects keep their rankings if
+// only the state of servers has changed.
+func (svc *service) setMembers(members []placement.Member, callerRegions int) {
+	slices.SortFunc(members, func(a, b placement.Member) int { return strings.Compare(a.ID, b.ID) })
+	if svc.view.HasMembers(members, callerRegions) {
+		return
+	}
+	svc.view = placement.NewView(members, callerRegions)
+	clear(svc.rankings)
+}
+
 // evaluate returns the expected cost of a server. held says that one of the
 // candidates is known to hold the object.
 func (s *Scheduler) evaluate(now time.Time, job *Job, server *server, rank, ahead int, held bool) option {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -124,8 +124,10 @@
 }
 
 type service struct {
-	view    *placement.View
-	waiting []*Job
+	view *placement.View
+	// rankings are kept rankings of objects, by key.
+	rankings map[string]rankedObject
+	waiting  []*Job
 	// lastSubmitted has when a job of each target latency was last submitted.
 	lastSubmitted map[time.Duration]time.Time
 }
@@ -197,7 +199,7 @@
 func (s *Scheduler) service(name string) *service {
 	svc := s.services[name]
 	if svc == nil {
-		svc = &service{view: placement.NewView(nil, 1), lastSubmitted: make(map[time.Duration]time.Time)}
+		svc = &service{view: placement.NewView(nil, 1), rankings: make(map[string]rankedObject), lastSubmitted: make(map[time.Duration]time.Time)}
 		s.services[name] = svc
 	}
 	return svc
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -288,11 +288,11 @@
 	}
 	for name, svc := range s.services {
 		if _, ok := members[name]; !ok {
-			svc.view = placement.NewView(nil, callerRegions)
+			svc.setMembers(nil, callerRegions)
 		}
 	}
 	for name, list := range members {
-		s.service(name).view = placement.NewView(list, callerRegions)
+		s.service(name).setMembers(list, callerRegions)
 	}
 }
 
