Apply only the servers that have changed

Views now name the servers that changed, and the scheduler rebuilds the ranking of a service only if servers come or go.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -136,6 +136,7 @@
 		newer:          make(map[inventory.Collection]newerPeer),
 		pullWake:       make(chan struct{}, 1),
 	}
+	h.appliedView = &inventory.View{}
 	h.activeBounds.Store(&s.Bounds)
 	self := roster.Heartbeat{
 		ID:            s.ID,
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
@@ -35,10 +37,18 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	before := h.appliedView
+	changed := changedServers(before, view)
 	var listed []scheduler.Server
-	var restarted []string
-	slots := 0
-	for id, server := range view.Servers {
+	var restarted, removed []string
+	for _, id := range changed {
+		server, ok := view.Servers[id]
+		h.slots.Add(int64(server.Slots - before.Servers[id].Slots))
+		if !ok {
+			removed = append(removed, id)
+			h.untrackServer(id)
+			continue
+		}
 		if h.trackServer(id, server) {
 			restarted = append(restarted, id)
 		}
@@ -49,20 +59,32 @@
 			Slots:   server.Slots,
 			Closed:  server.State != fleet.Ready || view.Evacuated[server.Domain],
 		})
-		slots += server.Slots
 	}
-	logViewChanges(h.Log, h.appliedView, view)
+	logViewChanges(h.Log, before, view, changed)
 	h.appliedView = view
-	h.slots.Store(int64(slots))
-	h.untrackServers(view)
-	h.scheduler.SetServers(now, listed, h.regionCount())
+	h.scheduler.UpdateServers(now, listed, removed, h.regionCount())
 	for _, id := range restarted {
 		h.scheduler.Forget(now, id)
 	}
-	h.applyCold(now, view)
+	h.applyCold(now, view, changed)
 	h.deliver(h.scheduler.Tick(now))
 }
 
+// changedServers returns the IDs of the servers that have to be applied again: all
+// if an evacuation began or ended or the configuration changed, which says how long
+// servers stay cold.
+func changedServers(before, after *inventory.View) []string {
+	if before.Config == after.Config && maps.Equal(before.Evacuated, after.Evacuated) {
+		return after.Changed
+	}
+	all := maps.Clone(before.Servers)
+	if all == nil {
+		all = make(map[string]fleet.BackendServer)
+	}
+	maps.Copy(all, after.Servers)
+	return slices.Collect(maps.Keys(all))
+}
+
 func (h *Host) regionCount() int {
 	regions := make(map[string]bool)
 	for _, region := range h.Settings.RegionOf {
@@ -88,21 +110,24 @@
 	return known != nil
 }
 
-func (h *Host) untrackServers(view *inventory.View) {
-	for id, known := range h.backends {
-		if _, ok := view.Servers[id]; ok {
-			continue
-		}
-		h.Log.Emit(events.ServerRemoved, events.Server(model.ServerID(id)))
-		known.pool.Close()
-		delete(h.backends, id)
+func (h *Host) untrackServer(id string) {
+	known := h.backends[id]
+	if known == nil {
+		return
 	}
+	h.Log.Emit(events.ServerRemoved, events.Server(model.ServerID(id)))
+	known.pool.Close()
+	delete(h.backends, id)
 }
 
-// applyCold marks the servers that are cold by their entry, or because the
-// evacuation of their failure domain ended less than a cold start ago.
-func (h *Host) applyCold(now time.Time, view *inventory.View) {
-	for id, server := range view.Servers {
+// applyCold marks those of the given servers that are cold by their entry, or
+// because the evacuation of their failure domain ended less than a cold start ago.
+func (h *Host) applyCold(now time.Time, view *inventory.View, ids []string) {
+	for _, id := range ids {
+		server, ok := view.Servers[id]
+		if !ok {
+			continue
+		}
 		until := time.Time{}
 		if server.ColdRemaining > 0 && h.backends[id] != nil {
 			until = h.backends[id].coldUntil(now, server)
@@ -116,6 +141,12 @@
 			h.scheduler.SetCold(id, until)
 		}
 	}
+	h.limitCold(now, view)
+}
+
+// limitCold sets the number of requests that this host may send to each cold
+// server, which depends on the hosts that share it.
+func (h *Host) limitCold(now time.Time, view *inventory.View) {
 	h.scheduler.LimitCold(now, func(id string) int { return h.coldLimit(view, view.Servers[id]) })
 }
 
@@ -180,7 +211,7 @@
 	defer h.Log.RecoverPanic("housekeeping")
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.applyCold(now, h.reader.View())
+	h.limitCold(now, h.appliedView)
 	for _, b := range h.backends {
 		b.pool.Prune(now)
 	}
--- a/internal/host/viewlog.go
+++ b/internal/host/viewlog.go
@@ -13,13 +13,10 @@
 // logViewChanges logs the differences between two views, except for added and
 // removed servers, which are logged when their connections are opened or
 // closed.
-func logViewChanges(log *events.Log, before, after *inventory.View) {
-	if after.Config != nil && (before == nil || before.Config != after.Config) {
+func logViewChanges(log *events.Log, before, after *inventory.View, changed []string) {
+	if after.Config != nil && before.Config != after.Config {
 		log.Emit(events.ConfigInForce, configFields(after)...)
 	}
-	if before == nil {
-		before = &inventory.View{}
-	}
 	for domain := range after.Evacuated {
 		if !before.Evacuated[domain] {
 			log.Emit(events.DomainEvacuated, events.FailureDomain(model.FailureDomain(domain)))
@@ -30,8 +27,8 @@
 			log.Emit(events.DomainReleased, events.FailureDomain(model.FailureDomain(domain)))
 		}
 	}
-	for id, server := range after.Servers {
-		if server.State == fleet.Draining && before.Servers[id].State != fleet.Draining {
+	for _, id := range changed {
+		if server, ok := after.Servers[id]; ok && server.State == fleet.Draining && before.Servers[id].State != fleet.Draining {
 			log.Emit(events.ServerDraining, events.Server(model.ServerID(id)))
 		}
 	}
--- a/internal/host/viewlog_test.go
+++ b/internal/host/viewlog_test.go
@@ -48,11 +48,11 @@
 		before, after *inventory.View
 		want          []string
 	}{
-		{"start", nil, first, []string{"config-in-force", "domain-evacuated", "server-draining"}},
+		{"start", &inventory.View{}, first, []string{"config-in-force", "domain-evacuated", "server-draining"}},
 		{"nothing", first, first, nil},
 		{"everything", first, second, []string{"config-in-force", "domain-evacuated", "domain-released", "server-draining"}},
 	} {
-		if got := loggedEvents(func(log *events.Log) { logViewChanges(log, c.before, c.after) }); !slices.Equal(got, c.want) {
+		if got := loggedEvents(func(log *events.Log) { logViewChanges(log, c.before, c.after, []string{"i-1", "i-2"}) }); !slices.Equal(got, c.want) {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
@@ -63,7 +63,7 @@
 func TestSenderOfConfigurationIsLogged(t *testing.T) {
 	view := &inventory.View{Config: fleet.NewConfig(1, nil, nil, fleet.Limits{}), Sender: "west-2"}
 	var out bytes.Buffer
-	logViewChanges(events.New(&out, logrus.InfoLevel, time.Now), nil, view)
+	logViewChanges(events.New(&out, logrus.InfoLevel, time.Now), &inventory.View{}, view, nil)
 	if !strings.Contains(out.String(), "peer=west-2") {
 		t.Errorf("%q does not name the sender", out.String())
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -96,6 +96,9 @@
 	Sender string
 	// Servers are the listed servers, draining ones included.
 	Servers map[string]fleet.BackendServer
+	// Changed are the IDs of the servers that were added, changed or removed since
+	// the view before, so that the cost of a change does not grow with the list.
+	Changed []string
 	// Evacuated are the failure domains that get no requests.
 	Evacuated map[string]bool
 	// ReleasedAt is when the evacuation of a failure domain last ended.
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -35,7 +36,9 @@
 	// lapsed are the servers that this host still uses although their entries have
 	// expired, with the time until which it does. They are not part of marks and
 	// snapshots.
-	lapsed          map[string]time.Time
+	lapsed map[string]time.Time
+	// changed are the servers that differ from those in the latest view.
+	changed         map[string]bool
 	recoveredAt     time.Time
 	lapseWindowEnd  time.Time
 	awaitingServers bool
@@ -56,6 +59,7 @@
 		asOf:    make(map[Collection]uint64),
 		digests: make(map[Collection]uint64),
 		lapsed:  make(map[string]time.Time),
+		changed: make(map[string]bool),
 	}
 }
 
@@ -179,6 +183,7 @@
 		}
 		delete(s.lapsed, o.Name)
 		s.view.Servers[o.Name] = server
+		s.changed[o.Name] = true
 	case Evacuations:
 		s.view.Evacuated[o.Name] = true
 	}
@@ -229,6 +234,7 @@
 		}
 		if _, lapsed := s.lapsed[name]; !lapsed {
 			delete(s.view.Servers, name)
+			s.changed[name] = true
 		}
 	case Evacuations:
 		if s.view.Evacuated[name] {
@@ -249,14 +255,18 @@
 		}
 		delete(s.lapsed, name)
 		delete(s.view.Servers, name)
+		s.changed[name] = true
 		changed = true
 	}
 	return changed
 }
 
-// View returns a copy of the current view.
+// View returns a copy of the current view, with what has changed since the last
+// call.
 func (s *State) View() *View {
 	view := s.view
+	view.Changed = slices.Collect(maps.Keys(s.changed))
+	clear(s.changed)
 	view.Servers = maps.Clone(s.view.Servers)
 	view.Evacuated = maps.Clone(s.view.Evacuated)
 	view.ReleasedAt = maps.Clone(s.view.ReleasedAt)
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -60,12 +60,6 @@
 	return v
 }
 
-// HasMembers reports whether a view of these members and regions of callers equals
-// this one.
-func (v *View) HasMembers(members []Member, callerRegions int) bool {
-	return v.callerRegions == max(callerRegions, 1) && slices.Equal(v.members, members)
-}
-
 // IsEmpty reports whether the service has no servers.
 func (v *View) IsEmpty() bool { return len(v.members) == 0 }
 
--- a/pkg/scheduler/choice.go
+++ b/pkg/scheduler/choice.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/placement"
@@ -122,17 +121,40 @@
 	return servers
 }
 
-// setMembers replaces the servers of the service. Objects keep their rankings if
+// updateMembers changes the servers of the service. Objects keep their rankings if
 // only the state of servers has changed.
-func (svc *service) setMembers(members []placement.Member, callerRegions int) {
-	slices.SortFunc(members, func(a, b placement.Member) int { return strings.Compare(a.ID, b.ID) })
-	if svc.view.HasMembers(members, callerRegions) {
+func (svc *service) updateMembers(changes memberChanges, callerRegions int) {
+	if !svc.changesMembers(changes, callerRegions) {
 		return
 	}
-	svc.view = placement.NewView(members, callerRegions)
+	for id, member := range changes {
+		if member == nil {
+			delete(svc.members, id)
+		} else {
+			svc.members[id] = *member
+		}
+	}
+	members := make([]placement.Member, 0, len(svc.members))
+	for _, member := range svc.members {
+		members = append(members, member)
+	}
+	svc.view, svc.callerRegions = placement.NewView(members, callerRegions), callerRegions
 	clear(svc.rankings)
 }
 
+func (svc *service) changesMembers(changes memberChanges, callerRegions int) bool {
+	if svc.callerRegions != callerRegions {
+		return true
+	}
+	for id, member := range changes {
+		known, ok := svc.members[id]
+		if ok != (member != nil) || ok && known != *member {
+			return true
+		}
+	}
+	return false
+}
+
 // evaluate returns the expected cost of a server. held says that one of the
 // candidates is known to hold the object.
 func (s *Scheduler) evaluate(now time.Time, job *Job, server *server, rank, ahead int, held bool) option {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -125,6 +125,10 @@
 
 type service struct {
 	view *placement.View
+	// members are the servers in view, by ID, and callerRegions the number of
+	// regions that it is made for.
+	members       map[string]placement.Member
+	callerRegions int
 	// rankings are kept rankings of objects, by key.
 	rankings map[string]rankedObject
 	waiting  []*Job
@@ -199,7 +203,12 @@
 func (s *Scheduler) service(name string) *service {
 	svc := s.services[name]
 	if svc == nil {
-		svc = &service{view: placement.NewView(nil, 1), rankings: make(map[string]rankedObject), lastSubmitted: make(map[time.Duration]time.Time)}
+		svc = &service{
+			view:          placement.NewView(nil, 1),
+			members:       make(map[string]placement.Member),
+			rankings:      make(map[string]rankedObject),
+			lastSubmitted: make(map[time.Duration]time.Time),
+		}
 		s.services[name] = svc
 	}
 	return svc
