Keep what servers say of themselves: leaving, and no requests for a while

Cause: nothing read Server-Leaving, and of a refusal only a guess of the load was kept, which let the next request through at once.

Ways weighed for leaving: close the server in the scheduler alone, which the next change of the list would undo; a second word beside the list in pkg/drain, which is what is done: the server's own word holds until it has restarted or left the list. For refusals: a server's Retry-After is kept for 30 s at most, and callers are told the end of the first server's time if all want quiet. A server that refuses twice in a row without a time is left alone for 0.25 s, doubling up to 2 s. Text that is no number of seconds is ignored with event 1323.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -57,6 +57,7 @@
 	ServerCold        ID = 1320
 	DomainEvacuated   ID = 1321
 	DomainReleased    ID = 1322
+	ServerQuiet       ID = 1323
 
 	RequestGranted ID = 1330
 	RequestResent  ID = 1331
@@ -159,6 +160,7 @@
 	{ServerCold, logrus.InfoLevel, "server-cold", fields(FieldServer, FieldElapsed), "The backend server is cold for this long and gets few requests."},
 	{DomainEvacuated, logrus.InfoLevel, "domain-evacuated", fields(FieldDomain), "The servers of the failure domain get no new work."},
 	{DomainReleased, logrus.InfoLevel, "domain-released", fields(FieldDomain), "The servers of the failure domain get work again; they are treated as cold."},
+	{ServerQuiet, logrus.InfoLevel, "server-quiet", fields(FieldServer, FieldElapsed, FieldReason), "The backend server has asked for no requests for this long; the reason says if its time was ignored or bounded."},
 
 	{RequestGranted, logrus.InfoLevel, "request-granted", fields(FieldHost, FieldRequest, FieldService, FieldServer, FieldGeneration, FieldElapsed, FieldReason), "A backend server was chosen for a request, this long after its arrival; the reason has the key, the load and the expected time."},
 	{RequestResent, logrus.InfoLevel, "request-resent", fields(FieldHost, FieldRequest, FieldServer, FieldElapsed, FieldReason), "A request is resent to another backend server after this failure."},
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
+	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 	"github.com/wisteriacrank/wisteriacrank/pkg/scheduler"
@@ -78,8 +79,10 @@
 	useReportScheduled bool
 	lastFullUseReport  time.Time
 	backends           map[string]*backend
-	retries            map[string]*retryBudget
-	crashes            *crashGuard
+	// leaving has what servers say in their responses about leaving.
+	leaving *drain.Servers
+	retries map[string]*retryBudget
+	crashes *crashGuard
 	// responseMemory is the memory for responses that are being read.
 	responseMemory *bounded.Budget
 	splitters      map[string]*splitter
@@ -129,6 +132,7 @@
 		scheduler:      scheduler.New(s.Region),
 		waiters:        make(map[*scheduler.Job]chan scheduler.Verdict),
 		backends:       make(map[string]*backend),
+		leaving:        drain.NewServers(),
 		retries:        make(map[string]*retryBudget),
 		crashes:        newCrashGuard(),
 		responseMemory: bounded.New(int64(float64(s.Memory) * responseMemoryShare)),
--- a/internal/host/protocol.go
+++ b/internal/host/protocol.go
@@ -32,6 +32,8 @@
 type Report struct {
 	// NotRun means that the server guarantees that the request did not run.
 	NotRun bool
+	// Leaving means that the server is leaving and wants no new requests.
+	Leaving bool
 	// Signed means that the response has the server's signature.
 	Signed bool
 	// Server is the ID of the responding server, or empty.
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -226,12 +226,15 @@
 	defer r.host.releaseJob(job)
 	ctx, cancel := r.attemptContext(ctx, verdict)
 	defer cancel()
+	sentAt := time.Now()
 	resp, err := r.host.exchange(ctx, verdict.Server, r.upstreamRequest(verdict.Server))
 	var f *upstream.Failure
 	if errors.As(err, &f) {
 		return nil, r.handleFailure(ctx, job, f)
 	}
-	return r.handleResponse(job, resp)
+	report := r.host.Protocol.DecodeResponse(resp.Status, resp.Header)
+	r.host.applyServerState(r.server, sentAt, resp, report)
+	return r.handleResponse(job, resp, report)
 }
 
 type verdictReason scheduler.Verdict
@@ -343,8 +346,7 @@
 
 // handleResponse ends an attempt with a response. It returns the response if
 // that is final, and a failure otherwise.
-func (r *requestState) handleResponse(job *scheduler.Job, received *upstream.Response) (*callers.Response, *attemptFailure) {
-	report := r.host.Protocol.DecodeResponse(received.Status, received.Header)
+func (r *requestState) handleResponse(job *scheduler.Job, received *upstream.Response, report Report) (*callers.Response, *attemptFailure) {
 	if report.ColdFor > 0 {
 		r.host.setCold(r.server, report.ColdFor)
 	}
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -57,7 +57,7 @@
 			Service: server.Service,
 			Region:  server.Region,
 			Slots:   server.Slots,
-			Closed:  server.State != fleet.Ready || view.Evacuated[server.Domain],
+			Closed:  server.State != fleet.Ready || view.Evacuated[server.Domain] || !h.leaving.MayUse(model.ServerID(id), now),
 		})
 	}
 	logViewChanges(h.Log, before, view, changed)
@@ -100,6 +100,8 @@
 	if known != nil && known.address == server.Address && known.startUnixMillis == server.StartUnixMillis {
 		return false
 	}
+	// What a previous process said does not bind this one.
+	h.leaving.Forget(model.ServerID(id))
 	if known != nil {
 		known.pool.Close()
 	} else {
@@ -117,6 +119,7 @@
 	}
 	h.Log.Emit(events.ServerRemoved, events.Server(model.ServerID(id)))
 	known.pool.Close()
+	h.leaving.Forget(model.ServerID(id))
 	delete(h.backends, id)
 }
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -92,6 +92,11 @@
 	Regions []string
 }
 
+// AllowsRegion reports whether servers of the region may serve the object.
+func (o Object) AllowsRegion(region string) bool {
+	return len(o.Regions) == 0 || slices.Contains(o.Regions, region)
+}
+
 // Equal reports whether both are the same object with the same constraints.
 func (o Object) Equal(other Object) bool {
 	return o.Key == other.Key && o.Origin == other.Origin && o.StayLocal == other.StayLocal && slices.Equal(o.Regions, other.Regions)
@@ -109,7 +114,7 @@
 	localFirst := o.StayLocal || unit(rendezvous.Score(o.Key, o.Origin)) < v.LocalShare(o.Origin)
 	best := make([]candidate, 0, min(n, len(v.members))+1)
 	for _, m := range v.members {
-		if len(o.Regions) > 0 && !slices.Contains(o.Regions, m.Region) {
+		if !o.AllowsRegion(m.Region) {
 			continue
 		}
 		local := m.Region == o.Origin
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -268,7 +268,7 @@
 func (s *Scheduler) decide(now time.Time, svc *service, job *Job, ahead map[*server]int) (Verdict, bool) {
 	best, ok := s.best(now, svc, job, ahead)
 	if !ok {
-		return Verdict{Job: job, Refused: NoServer, RetryAfter: noServerRetryAfter}, true
+		return Verdict{Job: job, Refused: NoServer, RetryAfter: s.retryAfterNoServer(now, svc, job)}, true
 	}
 	if now.Add(best.total()).After(job.Deadline) || s.isLateTooLong(now, job) {
 		return Verdict{
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -65,6 +65,7 @@
 	down      bool
 	coldUntil time.Time
 	coldLimit windowLimit
+	quiet     quiet
 
 	running map[*Job]struct{}
 	// otherLoad is the load from hosts that do not report theirs to this host.
@@ -110,7 +111,7 @@
 
 // usable reports whether the server may get a request now.
 func (s *server) usable(now time.Time) bool {
-	return !s.down && !s.Closed && (!s.isCold(now) || s.coldLimit.allows(now))
+	return !s.down && !s.Closed && !s.quiet.applies(now) && (!s.isCold(now) || s.coldLimit.allows(now))
 }
 
 // busy is the number of requests that the server runs or queues.
@@ -245,8 +246,10 @@
 	case Shed:
 		// The server is full: nothing more is sent until this estimate has decayed.
 		server.otherLoad.set(now, float64(server.Slots))
+		server.quiet.recordRefusal(now)
 		return
 	}
+	server.quiet.recordSuccess()
 	server.errorRate.addSample(now, 0, errorWeight)
 	ratio := float64(took) / float64(max(job.run.expected, time.Millisecond))
 	server.slowFactor.addSample(now, min(ratio, maxSlowness), slownessWeight)
