Prefer other servers to one that refuses, in place of leaving it alone

Servers that refuse a part still serve the rest, and the service has no others to spare. Refusals in a row now count as failures in the cost of a server; only a server's own Retry-After ends requests to it.

--- a/pkg/scheduler/quiet.go
+++ b/pkg/scheduler/quiet.go
@@ -6,19 +6,11 @@
 	// maxQuiet bounds the time for which a server may ask for no requests, so that
 	// a wrong value does not take it out of use.
 	maxQuiet = 30 * time.Second
-	// shedBackoff is how long a server that refuses two requests in a row gets no
-	// further ones; it doubles with each further refusal up to maxShedBackoff. The
-	// first refusal only means that the server was full for a moment.
-	shedBackoff    = 250 * time.Millisecond
-	maxShedBackoff = 2 * time.Second
 )
 
-// quiet is the time in which a server gets no requests because it refused some.
-type quiet struct {
-	until time.Time
-	// refusals is the number of refusals in a row.
-	refusals int
-}
+// quiet is the time in which a server gets no requests because it has asked for
+// none.
+type quiet struct{ until time.Time }
 
 func (q *quiet) applies(now time.Time) bool { return now.Before(q.until) }
 
@@ -29,26 +21,6 @@
 	}
 }
 
-// recordRefusal records a refusal without a time of the server's own. Refusals of
-// requests that were sent before the quiet time count once.
-func (q *quiet) recordRefusal(now time.Time) {
-	if q.applies(now) {
-		return
-	}
-	q.refusals++
-	if q.refusals < 2 {
-		return
-	}
-	backoff := maxShedBackoff
-	if doublings := q.refusals - 2; shedBackoff<<doublings < maxShedBackoff {
-		backoff = shedBackoff << doublings
-	}
-	q.extend(now.Add(backoff))
-}
-
-// recordSuccess ends a run of refusals. A time that the server asked for stays.
-func (q *quiet) recordSuccess() { q.refusals = 0 }
-
 // SetQuiet records that a server has asked for no requests for this long, and
 // returns the time that is kept.
 func (s *Scheduler) SetQuiet(now time.Time, id string, d time.Duration) time.Duration {
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -66,6 +66,8 @@
 	coldUntil time.Time
 	coldLimit windowLimit
 	quiet     quiet
+	// refusals is the number of requests in a row that the server refused.
+	refusals int
 
 	running map[*Job]struct{}
 	// otherLoad is the load from hosts that do not report theirs to this host.
@@ -246,10 +248,14 @@
 	case Shed:
 		// The server is full: nothing more is sent until this estimate has decayed.
 		server.otherLoad.set(now, float64(server.Slots))
-		server.quiet.recordRefusal(now)
+		server.refusals++
+		if server.refusals > 1 {
+			// It is more than full for a moment, so others are preferred.
+			server.errorRate.addSample(now, 1, errorWeight)
+		}
 		return
 	}
-	server.quiet.recordSuccess()
+	server.refusals = 0
 	server.errorRate.addSample(now, 0, errorWeight)
 	ratio := float64(took) / float64(max(job.run.expected, time.Millisecond))
 	server.slowFactor.addSample(now, min(ratio, maxSlowness), slownessWeight)
