Serve requests that are in transit when a host stops

Cause: after the time for lookups to expire, a stopping host interrupted every connection without a whole request. One whose bytes were on their way, or half read, ended without an answer or with 408, and one accepted just before could be missed and was cut at the end of the process. Connections now wait 0.2 s for a last request, a request that has begun is read to its end, and connections that are accepted later are told the same.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -25,7 +25,11 @@
 	// response: closing with unread bytes resets the connection, possibly before
 	// the response arrives.
 	lingerTimeout = 500 * time.Millisecond
-	readBuffer    = 4 << 10
+	// lastRequestWait is how long a connection without a request is kept after the
+	// server was told to close it: a request may be on its way, or may have arrived
+	// on a connection that was just accepted.
+	lastRequestWait = 200 * time.Millisecond
+	readBuffer      = 4 << 10
 	// headerSlack allows for the request line, on top of the header limit.
 	headerSlack = 1 << 10
 	// unknownSize is the length given for a chunked body.
@@ -49,6 +53,10 @@
 	mu       sync.Mutex
 	stopped  bool
 	inFlight int
+	// finishBy, if set, is when the wait for a last request ends.
+	finishBy time.Time
+	// awaiting is set while the connection waits for the next request.
+	awaiting bool
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -141,6 +149,47 @@
 	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
 }
 
+// finishReading ends the wait for the next request after lastRequestWait. A request
+// that has begun to arrive is read and served.
+func (c *conn) finishReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finishBy = time.Now().Add(lastRequestWait)
+	if c.awaiting && !c.stopped {
+		_ = c.raw.SetReadDeadline(c.finishBy)
+	}
+}
+
+// beginAwaiting sets the deadline of the wait for the next request, unless
+// stopReading was called.
+func (c *conn) beginAwaiting(idle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return false
+	}
+	c.awaiting = true
+	deadline := time.Now().Add(idle)
+	if !c.finishBy.IsZero() {
+		deadline = c.finishBy
+	}
+	_ = c.raw.SetReadDeadline(deadline)
+	return true
+}
+
+func (c *conn) endAwaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = false
+}
+
+// isFinished reports whether no further request is awaited.
+func (c *conn) isFinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped || !c.finishBy.IsZero() && !time.Now().Before(c.finishBy)
+}
+
 // setReadDeadline sets the deadline d from now, unless stopReading was called.
 func (c *conn) setReadDeadline(d time.Duration) bool {
 	c.mu.Lock()
@@ -154,8 +203,9 @@
 
 // awaitRequest waits for the first byte of the next request.
 func (c *conn) awaitRequest(limits Limits) (stop, disconnected bool) {
+	defer c.endAwaiting()
 	for {
-		if !c.setReadDeadline(limits.IdleTimeout) {
+		if !c.beginAwaiting(limits.IdleTimeout) {
 			return true, false
 		}
 		c.limited.Left = int64(limits.MaxHeaderBytes) + headerSlack
@@ -165,7 +215,7 @@
 			return false, false
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return true, true
-		case c.busy() && !c.isStopped():
+		case c.busy() && !c.isFinished():
 			continue
 		default:
 			return true, false
@@ -173,12 +223,6 @@
 	}
 }
 
-func (c *conn) isStopped() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stopped
-}
-
 // awaitClose watches for the caller's close while the last request runs.
 func (c *conn) awaitClose(ctx context.Context) (disconnected bool) {
 	for c.busy() {
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -61,7 +61,9 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	wg    sync.WaitGroup
+	// closing is set once CloseIdle was called.
+	closing bool
+	wg      sync.WaitGroup
 }
 
 // NewServer returns a server. limits is called for every request. bodyMemory
@@ -88,6 +90,9 @@
 		c := newConn(s, raw)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
+		if s.closing {
+			c.finishReading()
+		}
 		s.mu.Unlock()
 		s.wg.Add(1)
 		go func() {
@@ -103,14 +108,15 @@
 // Drain closes each connection after the response to its next request.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes the connections that have no request in flight, and the
-// others after their responses.
+// CloseIdle closes the connections that have no request in flight and on which
+// none arrives within lastRequestWait, and the others after their responses.
 func (s *Server) CloseIdle() {
 	s.Drain()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closing = true
 	for c := range s.conns {
-		c.stopReading()
+		c.finishReading()
 	}
 }
 
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -13,6 +13,12 @@
 
 // startServer serves requests with the handler and returns the address.
 func startServer(t *testing.T, handler Handler) net.Addr {
+	t.Helper()
+	_, address := startStoppableServer(t, handler)
+	return address
+}
+
+func startStoppableServer(t *testing.T, handler Handler) (*Server, net.Addr) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,7 +34,7 @@
 			t.Errorf("server ended: %v", err)
 		}
 	})
-	return listener.Addr()
+	return server, listener.Addr()
 }
 
 func dialServer(t *testing.T, address net.Addr) *net.TCPConn {
@@ -112,3 +118,58 @@
 		})
 	}
 }
+
+// Guards against a planned stop that ends connections on which a request is on its
+// way, has begun to arrive, or has arrived on a connection that was just accepted.
+func TestRequestsInTransitAreServedAtAStop(t *testing.T) {
+	const text = "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n12345"
+	serveOK := func(_ context.Context, r *Request) Response {
+		return Response{Status: http.StatusOK, Header: http.Header{}, Body: r.Body}
+	}
+	write := func(t *testing.T, conn net.Conn, text string) {
+		t.Helper()
+		if _, err := io.WriteString(conn, text); err != nil {
+			t.Error(err)
+		}
+	}
+	const transit = 30 * time.Millisecond // a round trip of a caller
+	for what, stop := range map[string]func(*testing.T, *Server, net.Conn){
+		"on its way": func(t *testing.T, s *Server, conn net.Conn) {
+			time.Sleep(transit)
+			s.CloseIdle()
+			time.Sleep(transit)
+			write(t, conn, text)
+		},
+		"begun": func(t *testing.T, s *Server, conn net.Conn) {
+			write(t, conn, text[:20])
+			time.Sleep(transit)
+			s.CloseIdle()
+			time.Sleep(2 * lastRequestWait)
+			write(t, conn, text[20:])
+		},
+		"just accepted": func(t *testing.T, s *Server, conn net.Conn) {
+			s.CloseIdle()
+			write(t, conn, text)
+		},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			server, address := startStoppableServer(t, serveOK)
+			conn := dialServer(t, address)
+			idle := dialServer(t, address)
+			stop(t, server, conn)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no response: %v", err)
+			}
+			if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "12345" || !resp.Close {
+				t.Errorf("body %q, %v, close %v; want the whole response and the end of the connection", body, err, resp.Close)
+			}
+			_ = resp.Body.Close()
+			if !server.Wait(5 * time.Second) {
+				t.Error("a connection without a request stays open")
+			}
+			_ = idle.Close()
+		})
+	}
+}
