Look at a suspect's status again when its trial is admitted

Cause of a third crash in TestCrashingRequestStopsAfterTwoCrashes (5 of 800 plays, 16 at a time): the status was looked up before the lock under which trials are counted. When the first trial convicted the content and ended in between, a copy was still admitted as a suspect and crashed a third server. TestSuspectConvictedMeanwhileIsNotAdmitted causes this order without timing and fails before.

--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -57,11 +57,8 @@
 // alone on a server. If it returns exclusive, endTrial must follow. admit calls
 // trialHost only for suspects; it reports whether this host runs the trial.
 func (g *crashGuard) admit(req Request, trialHost func() bool, now time.Time) (exclusive bool, refused *result.Error) {
-	switch g.status(req, now) {
-	case quarantine.Clear:
-		return false, nil
-	case quarantine.Convicted:
-		return false, result.Errorf(result.Quarantined, "requests with the same content crashed backend servers")
+	if status := g.status(req, now); status != quarantine.Suspect {
+		return false, refusalOf(status)
 	}
 	if !trialHost() {
 		return false, result.Errorf(result.NotDispatcher, "another host of the region runs suspects with this content")
@@ -69,6 +66,10 @@
 	hash := contentHash(req)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if status := g.table.Status(hash, now); status != quarantine.Suspect {
+		// Another trial has ended since the first look.
+		return false, refusalOf(status)
+	}
 	if g.trials[hash] {
 		return false, result.Errorf(result.NoCapacity, "a suspect with the same content is running")
 	}
@@ -76,6 +77,15 @@
 	return true, nil
 }
 
+// refusalOf returns the refusal of a request with a status other than suspect, or
+// nil if it may run like any other.
+func refusalOf(status quarantine.Status) *result.Error {
+	if status == quarantine.Convicted {
+		return result.Errorf(result.Quarantined, "requests with the same content crashed backend servers")
+	}
+	return nil
+}
+
 // endTrial ends the trial of a suspect.
 func (g *crashGuard) endTrial(req Request) {
 	hash := contentHash(req)
