Make the silent connections of two end-to-end tests silent

Cause: the fleet of internal/e2e served its backend servers on a plain listener, on which the fault Unresponsive does nothing, so two tests passed without their fault. They listen with the faults of connections now, and TestSilentConnectionsAreAbandoned fails if no connection is silent.

--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -308,8 +308,13 @@
 			t.Fatal(err)
 		}
 	}
+	unresponsive := 0
 	for _, b := range f.backends {
 		b.SetFaults(standin.BackendFaults{ReportedBusy: -1, Unresponsive: true})
+		unresponsive += b.UnresponsiveConnections()
+	}
+	if unresponsive == 0 {
+		t.Fatal("no connection is unresponsive")
 	}
 	for i := range 10 {
 		got, err := f.sendCheck("10.1.7.0/24", fmt.Sprintf("silent-%d", i), "x")
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -181,7 +181,7 @@
 	b.server = b.Backend.Server()
 	server := b.server
 	b.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(standin.FaultListener(listener)) }()
 }
 
 func (b *backendServer) close() {
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// UnresponsiveConnections returns the number of open connections that are
+// unresponsive.
+func (b *Backend) UnresponsiveConnections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for conn := range b.conns {
+		if c, ok := conn.(*faultConn); ok && c.unresponsive.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // SetResponseFaults sets the function that chooses the fault of each response by
 // its request ID. It takes precedence over BackendFaults.Response; nil removes it.
 func (b *Backend) SetResponseFaults(choose func(requestID string) ResponseFault) {
@@ -128,9 +142,13 @@
 // Serve serves connections of the listener until it is closed. Faults of
 // connections need it; Server alone does not inject them.
 func (b *Backend) Serve(listener net.Listener) error {
-	return b.Server().Serve(faultListener{listener})
+	return b.Server().Serve(FaultListener(listener))
 }
 
+// FaultListener returns a listener on whose connections the faults of connections
+// are injected, for a server that Server has returned.
+func FaultListener(listener net.Listener) net.Listener { return faultListener{listener} }
+
 // resetConnections resets all open connections.
 func (b *Backend) resetConnections() {
 	b.mu.Lock()
