Move the servers of the scheduler and their rankings to a file of their own

Found on reading: choice.go and server.go had grown by a third job. Nothing but moves, one error made with errors.New, and an unused result in a benchmark.

--- a/internal/host/leaving.go
+++ b/internal/host/leaving.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -41,7 +42,8 @@
 	h.Log.Emit(events.ServerDraining, events.Server(id), events.Reason(errSaysLeaving))
 }
 
-var errSaysLeaving = fmt.Errorf("it says so in its responses")
+// errSaysLeaving is the reason that is logged for a server that says so itself.
+var errSaysLeaving = errors.New("it says so in its responses")
 
 // markQuiet sends a server no requests for the time that it has asked for. A text
 // that is no time is ignored.
--- a/internal/host/scale_bench_test.go
+++ b/internal/host/scale_bench_test.go
@@ -78,11 +78,10 @@
 // BenchmarkHousekeepCold measures it while a tenth of the servers is cold.
 func BenchmarkHousekeepCold(b *testing.B) {
 	benchmarkSizes(b, func(b *testing.B, size fleetSize) {
-		h, view := newSizedHost(size)
+		h, _ := newSizedHost(size)
 		for i := range size.servers / 10 {
 			h.scheduler.SetCold(fmt.Sprint("i-", i), time.Now().Add(time.Hour))
 		}
-		_ = view
 		for range b.N {
 			h.housekeep(time.Now())
 		}
--- a/pkg/scheduler/choice.go
+++ b/pkg/scheduler/choice.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/wisteriacrank/wisteriacrank/pkg/placement"
 )
 
 const (
@@ -21,11 +19,6 @@
 	// for those of another region until a connection to it has been timed.
 	sameRegionRTT    = 3 * time.Millisecond
 	defaultRegionRTT = 50 * time.Millisecond
-	// rankedServers is the number of servers that are ranked for an object. All are
-	// ranked only if too few of these are usable.
-	rankedServers = 4 * candidateCount
-	// maxRankings bounds the rankings that are kept per service: about 1 MB.
-	maxRankings = 4096
 )
 
 // option is a server with its expected cost for a job.
@@ -96,65 +89,6 @@
 	return usable
 }
 
-// rankedObject is the ranking of an object that was requested before.
-type rankedObject struct {
-	object  placement.Object
-	servers []string
-}
-
-// rank returns the first servers for the job's object. The rankings of objects that
-// are requested again are kept, because ranking takes time in proportion to the
-// number of servers.
-func (svc *service) rank(job *Job) []string {
-	if !job.Sticky {
-		return svc.view.Rank(job.Object, rankedServers)
-	}
-	known, ok := svc.rankings[job.Object.Key]
-	if ok && known.object.Equal(job.Object) {
-		return known.servers
-	}
-	if len(svc.rankings) >= maxRankings {
-		clear(svc.rankings)
-	}
-	servers := svc.view.Rank(job.Object, rankedServers)
-	svc.rankings[job.Object.Key] = rankedObject{object: job.Object, servers: servers}
-	return servers
-}
-
-// updateMembers changes the servers of the service. Objects keep their rankings if
-// only the state of servers has changed.
-func (svc *service) updateMembers(changes memberChanges, callerRegions int) {
-	if !svc.changesMembers(changes, callerRegions) {
-		return
-	}
-	for id, member := range changes {
-		if member == nil {
-			delete(svc.members, id)
-		} else {
-			svc.members[id] = *member
-		}
-	}
-	members := make([]placement.Member, 0, len(svc.members))
-	for _, member := range svc.members {
-		members = append(members, member)
-	}
-	svc.view, svc.callerRegions = placement.NewView(members, callerRegions), callerRegions
-	clear(svc.rankings)
-}
-
-func (svc *service) changesMembers(changes memberChanges, callerRegions int) bool {
-	if svc.callerRegions != callerRegions {
-		return true
-	}
-	for id, member := range changes {
-		known, ok := svc.members[id]
-		if ok != (member != nil) || ok && known != *member {
-			return true
-		}
-	}
-	return false
-}
-
 // evaluate returns the expected cost of a server. held says that one of the
 // candidates is known to hold the object.
 func (s *Scheduler) evaluate(now time.Time, job *Job, server *server, rank, ahead int, held bool) option {
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"time"
-
-	"github.com/wisteriacrank/wisteriacrank/pkg/placement"
-)
+import "time"
 
 const (
 	// otherLoadHalfLife is how fast the load that other hosts cause at a server
@@ -270,67 +266,6 @@
 	}
 }
 
-// SetServers replaces the list of servers. callerRegions is the number of
-// regions that callers come from. Waiting jobs get no server before the next
-// Tick, so that cold servers can be marked first.
-func (s *Scheduler) SetServers(now time.Time, specs []Server, callerRegions int) {
-	listed := make(map[string]bool, len(specs))
-	for _, spec := range specs {
-		listed[spec.ID] = true
-	}
-	var removed []string
-	for id := range s.servers {
-		if !listed[id] {
-			removed = append(removed, id)
-		}
-	}
-	s.UpdateServers(now, specs, removed, callerRegions)
-}
-
-// UpdateServers adds or changes servers and removes others; see SetServers. Its cost
-// grows with the servers of a service only if servers come or go.
-func (s *Scheduler) UpdateServers(now time.Time, specs []Server, removed []string, callerRegions int) {
-	changes := make(map[string]memberChanges)
-	for _, id := range removed {
-		if known := s.servers[id]; known != nil {
-			changesOf(changes, known.Service)[id] = nil
-			delete(s.servers, id)
-		}
-	}
-	for _, spec := range specs {
-		known := s.servers[spec.ID]
-		if known != nil && known.Service != spec.Service {
-			changesOf(changes, known.Service)[spec.ID] = nil
-			known = nil
-		}
-		changesOf(changes, spec.Service)[spec.ID] = &placement.Member{ID: spec.ID, Region: spec.Region, Slots: spec.Slots}
-		if known != nil {
-			known.Server = spec
-			continue
-		}
-		added := newServer(spec)
-		if svc := s.services[spec.Service]; svc != nil && !svc.view.IsEmpty() {
-			added.joinedAt = now
-		}
-		s.servers[spec.ID] = added
-	}
-	for name, changed := range changes {
-		s.service(name).updateMembers(changed, callerRegions)
-	}
-}
-
-// memberChanges has the new members of a service by ID, nil for those that are gone.
-type memberChanges map[string]*placement.Member
-
-func changesOf(changes map[string]memberChanges, service string) memberChanges {
-	of := changes[service]
-	if of == nil {
-		of = make(memberChanges)
-		changes[service] = of
-	}
-	return of
-}
-
 // SetCold marks a server as cold until the given time. It gets no requests
 // before LimitCold is called.
 func (s *Scheduler) SetCold(id string, until time.Time) {
