--- a/review/.world/hosts.go
+++ b/review/.world/hosts.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -37,7 +36,7 @@
 	"config-apply-ms=2000", "rollback-slack-ms=250", "max-stretch-ms=5000", "retry-budget-ratio=0.2", "budget-window-s=10", "budget-slack=116", "cold-over=1.5",
 	"cold-slack=5", "evacuate-ms=5000", "recovery-s=15", "ttl_max_s=5", "max-shift=0.15"}
 
-// fields renders the deploy template for a host.
+// render renders the deploy template for a host.
 func (w *world) render(h *host) string {
 	raw, err := os.ReadFile(filepath.Join(w.root, template))
 	check(err)
@@ -92,8 +91,6 @@
 	w.rec.note("host %s starts, process %d", h.name, h.cmd.Process.Pid)
 }
 
-func (h *host) signal(sig syscall.Signal) { _ = h.cmd.Process.Signal(sig) }
-
 func (h *host) ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + h.ip + ":" + portReady + "/wisteriacrank/ready")
@@ -104,16 +101,24 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// stopAll ends the processes of all hosts and waits until they are gone.
 func (w *world) stopAll() {
+	w.killAll()
 	for _, h := range w.hosts {
 		if h.cmd != nil {
-			h.signal(syscall.SIGCONT)
-			_ = h.cmd.Process.Kill()
 			<-h.exited
 		}
 	}
 }
 
+func (w *world) killAll() {
+	for _, h := range w.hosts {
+		if h.cmd != nil {
+			_ = h.cmd.Process.Kill()
+		}
+	}
+}
+
 var nextIP int
 
 // loopback returns a loopback address of this run.
--- a/review/.world/main.go
+++ b/review/.world/main.go
@@ -5,9 +5,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -59,6 +61,7 @@
 	w.rec = newRecord(filepath.Join(os.Args[2], "record.txt"))
 	defer w.rec.close()
 	defer w.stopAll()
+	go w.endEarly()
 	defer func() {
 		if cause := recover(); cause != nil {
 			w.rec.note("the case could not run: %v", cause)
@@ -75,6 +78,21 @@
 	return exitBroken
 }
 
+// timeLimit is how long a case may run.
+const timeLimit = 119 * time.Second
+
+// endEarly ends the hosts and this process on a signal or after timeLimit.
+func (w *world) endEarly() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-stop:
+	case <-time.After(timeLimit):
+	}
+	w.killAll()
+	os.Exit(exitNotRun)
+}
+
 // addHosts starts count hosts in each zone and waits until all are ready.
 func (w *world) addHosts(count int) {
 	for _, zone := range w.zones {
--- a/review/.world/record.go
+++ b/review/.world/record.go
@@ -28,12 +28,14 @@
 	path     map[string]string
 	status   map[string]int
 	cut      map[string]bool
+	// crashes has the times of the crashes that requests for a path caused.
+	crashes map[string][]time.Time
 }
 
 func newRecord(path string) *record {
 	f, err := os.Create(path)
 	check(err)
-	return &record{began: time.Now(), file: f, out: bufio.NewWriter(f), cut: make(map[string]bool), sentAt: make(map[string]time.Time), path: make(map[string]string), status: make(map[string]int)}
+	return &record{began: time.Now(), file: f, out: bufio.NewWriter(f), cut: make(map[string]bool), crashes: make(map[string][]time.Time), sentAt: make(map[string]time.Time), path: make(map[string]string), status: make(map[string]int)}
 }
 
 func (r *record) close() {
@@ -93,3 +95,10 @@
 	r.cut[id] = true
 	r.line("server %s ended while it ran %s", s.id, id)
 }
+
+func (r *record) crashed(s *server, id, path string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashes[path] = append(r.crashes[path], time.Now())
+	r.line("server %s crashes as it runs %s %s", s.id, id, path)
+}
--- a/review/.world/server.go
+++ b/review/.world/server.go
@@ -28,6 +28,10 @@
 	leaving  bool
 	ended    bool
 	bornAtMs int64
+	// crashes, if set, reports whether a request crashes the server.
+	crashes func(*http.Request) bool
+	// restarted is called when the server is back after a crash.
+	restarted func(*server)
 }
 
 const queuePerSlot = 3
@@ -123,6 +127,12 @@
 		return true
 	}
 	s.record.ran(s, id, req, body)
+	if s.crashes != nil && s.crashes(req) {
+		s.record.crashed(s, id, req.URL.Path)
+		s.leave()
+		s.crash()
+		return false
+	}
 	time.Sleep(s.work)
 	s.leave()
 	s.mu.Lock()
@@ -166,3 +176,26 @@
 	s.running--
 	s.mu.Unlock()
 }
+
+// crashTime is how long a server is away after a crash.
+const crashTime = 3 * time.Second
+
+// crash ends the server's process. It is back after crashTime under its id and
+// address.
+func (s *server) crash() {
+	address := s.listener.Addr().String()
+	s.end()
+	time.AfterFunc(crashTime, func() {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return // it stays away
+		}
+		s.mu.Lock()
+		s.listener = listener
+		s.ended = false
+		s.bornAtMs = time.Now().UnixMilli()
+		s.mu.Unlock()
+		go s.accept()
+		s.restarted(s)
+	})
+}
