Log each request that a shutdown leaves without a response

Cause: event 1007 counts the requests that are cut when the grace period of a shutdown ends.

Change: the host keeps its requests in flight, and event 1009 names each one that is cut, with its server and its arrival relative to the stop signal. The stop moves to a file of its own. No decision changes.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -18,6 +18,7 @@
 
 	RequestsUnfinished ID = 1007
 	PanicRecovered     ID = 1008
+	RequestUnfinished  ID = 1009
 
 	ConfigInForce     ID = 1100
 	ConfigRefused     ID = 1101
@@ -101,10 +102,10 @@
 }
 
 // exemptFromRateLimit reports whether the rate limit does not apply to the event: a
-// line of a request's trace, which is logged completely or not at all, or a read of
-// the store.
+// line of a request's trace, which is logged completely or not at all, a request
+// that a shutdown leaves without a response, or a read of the store.
 func (i Info) exemptFromRateLimit() bool {
-	return i.ID >= RequestGranted && i.ID <= RequestServed && i.ID != LinesDropped || i.ID == StoreRead
+	return i.ID >= RequestGranted && i.ID <= RequestServed && i.ID != LinesDropped || i.ID == RequestUnfinished || i.ID == StoreRead
 }
 
 func fields(names ...FieldName) []FieldName { return names }
@@ -116,8 +117,9 @@
 	{DaemonFailed, logrus.ErrorLevel, "daemon-failed", fields(FieldHost, FieldReason), "The daemon ends because it cannot serve."},
 	{EventsDropped, logrus.WarnLevel, "events-dropped", fields(FieldCount), "Lines that the rate limit dropped and no later line reported."},
 
-	{RequestsUnfinished, logrus.WarnLevel, "requests-unfinished", fields(FieldHost, FieldCount), "The grace period of a shutdown ended while this many requests of the host were still running on backend servers."},
+	{RequestsUnfinished, logrus.WarnLevel, "requests-unfinished", fields(FieldHost, FieldCount), "The grace period of a shutdown ended while this many requests had no response. The number may be lower than that of the connections that were cut: a request whose body is still arriving does not count."},
 	{PanicRecovered, logrus.ErrorLevel, "panic-recovered", fields(FieldSubject, FieldReason), "A fault of the program ended the handling of one request or message, which is the subject; the process continues. The reason has the place in the source."},
+	{RequestUnfinished, logrus.WarnLevel, "request-unfinished", fields(FieldHost, FieldRequest, FieldServer, FieldElapsed, FieldReason), "A request had no response this long after its arrival when the grace period of a shutdown ended. The server is empty if the request was waiting for one; the reason says whether the request arrived before or after the stop signal."},
 
 	{SettingsReloaded, logrus.InfoLevel, "settings-reloaded", nil, "Changed settings were applied."},
 	{SettingsRefused, logrus.WarnLevel, "settings-refused", fields(FieldReason), "Changed settings, or a part of them, were not applied; the old ones stay active."},
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -18,7 +18,6 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
 	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
-	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 	"github.com/wisteriacrank/wisteriacrank/pkg/scheduler"
 )
@@ -27,12 +26,6 @@
 	// lookupTTL is how long callers may cache a lookup; some cache it three
 	// times as long. It bounds how long a stopping host still receives requests.
 	lookupTTL = time.Second
-	// lookupDrainTime is the time after a stop signal until no caller uses this
-	// host any more: the longest use of a cached lookup, plus a margin.
-	lookupDrainTime = 3*lookupTTL + 300*time.Millisecond
-	// stopMargin is the part of the grace period that is left unused before the
-	// process is killed.
-	stopMargin = 700 * time.Millisecond
 	// bodyMemoryShare and responseMemoryShare are the shares of the memory
 	// setting for request bodies and for responses that are being read.
 	bodyMemoryShare     = 0.25
@@ -67,6 +60,7 @@
 	started  time.Time
 	reader   *inventory.Reader
 	entry    *callers.Server
+	inFlight *inFlight
 	stopping atomic.Bool
 	// activeBounds are the bounds of the settings that were loaded last.
 	activeBounds atomic.Pointer[Bounds]
@@ -139,6 +133,7 @@
 		splitters:      make(map[string]*splitter),
 		newer:          make(map[inventory.Collection]newerPeer),
 		pullWake:       make(chan struct{}, 1),
+		inFlight:       newInFlight(),
 	}
 	h.appliedView = &inventory.View{}
 	h.activeBounds.Store(&s.Bounds)
@@ -222,25 +217,6 @@
 	return group.Wait()
 }
 
-// stop drains the callers and completes the requests that they have sent.
-func (h *Host) stop(entry net.Listener) {
-	began := time.Now()
-	h.Log.Emit(events.DaemonStopping, events.Host(model.HostID(h.Settings.ID)))
-	h.stopping.Store(true)
-	h.entry.Drain()
-	h.announce()
-	limit := h.bounds().Grace - stopMargin
-	time.Sleep(min(lookupDrainTime, limit/2+limit/10))
-	_ = entry.Close()
-	h.entry.CloseIdle()
-	if !h.entry.Wait(limit - time.Since(began)) {
-		h.mu.Lock()
-		left := h.scheduler.Running()
-		h.mu.Unlock()
-		h.Log.Emit(events.RequestsUnfinished, events.Host(model.HostID(h.Settings.ID)), events.Count(left))
-	}
-}
-
 func listenAll(addresses ...string) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, address := range addresses {
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -105,6 +105,9 @@
 	r.service = h.splitterOf(route).next()
 	r.object = r.placedObject()
 	h.retryBudgetOf(r.service).FirstAttempt(req.Received)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer h.inFlight.add(r, cancel)()
 	final, code := r.serve(ctx)
 	r.finish(final, code)
 	return final
@@ -223,6 +226,8 @@
 			events.Generation(model.Generation(r.version)), events.Reason(verdictReason(verdict)),
 		}
 	})
+	r.host.inFlight.setServer(r, verdict.Server)
+	defer r.host.inFlight.setServer(r, "")
 	defer r.host.releaseJob(job)
 	ctx, cancel := r.attemptContext(ctx, verdict)
 	defer cancel()
