Start on a stopping host only what completes before the stop

Cause: after the stop signal a host went on taking requests for 3.2 s, the time in which callers may use a cached lookup, whatever the requests needed. 2.1 s after the last of them everything that still ran was cut.

Change: pkg/drain plans the shutdown from the grace period. The scheduler knows when the host stops; a job whose own deadline is later starts only if a run as long as the longest of the last 64 of its class completes before (at least three times the estimate), and is refused at once otherwise, also if it waits already. The caller gets 503, not run, with Retry-After 0, or after the lifetime of a lookup if other hosts of the region stop, too, so that its next lookup names none of them.

TestStoppingHostStartsOnlyWhatItCompletes, TestStoppingHostAllowsForSlowRunsItHasNotSeen and TestWaitingJobsAreRefusedOnceTheyCannotComplete fail without the check.

--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -413,6 +413,7 @@
 		scheduler.NoServer:          result.NoServer,
 		scheduler.QueueFull:         result.QueueFull,
 		scheduler.WouldMissDeadline: result.WouldMissDeadline,
+		scheduler.HostStopping:      result.Stopping,
 	}
 	return r.failureResponse(&attemptFailure{err: refusalReason(v), notRun: true, code: codes[v.Refused], retryAfter: v.RetryAfter})
 }
@@ -428,6 +429,8 @@
 	switch {
 	case f.response != nil:
 		return *f.response, f.code
+	case !r.mayHaveRun && f.notRun && f.code == result.Stopping:
+		return notRunResponse(r.host.stoppingRetryAfter()), f.code
 	case !r.mayHaveRun && f.notRun:
 		return notRunResponse(max(f.retryAfter, scheduler.MinRetryAfter)), f.code
 	case f.code == result.DeadlineAfterDispatch:
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -6,32 +6,49 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
-const (
-	// lookupDrainTime is the time after a stop signal until no caller uses this
-	// host any more: the longest use of a cached lookup, plus a margin.
-	lookupDrainTime = 3*lookupTTL + 300*time.Millisecond
-	// stopMargin is the part of the grace period that is left unused before the
-	// process is killed.
-	stopMargin = 700 * time.Millisecond
-)
+// lookupDrainTime is the time after a stop signal until no caller uses this host
+// any more: the longest use of a cached lookup, plus a margin.
+const lookupDrainTime = 3*lookupTTL + 300*time.Millisecond
 
-// stop drains the callers and completes the requests that they have sent.
+// stop drains the callers. Requests that might not complete in the grace period are
+// refused from the stop signal on.
 func (h *Host) stop(entry net.Listener) {
-	began := time.Now()
+	plan := drain.PlanShutdown(time.Now(), h.bounds().Grace, lookupDrainTime)
 	h.Log.Emit(events.DaemonStopping, events.Host(model.HostID(h.Settings.ID)))
 	h.stopping.Store(true)
 	h.entry.Drain()
 	h.announce()
-	limit := h.bounds().Grace - stopMargin
-	time.Sleep(min(lookupDrainTime, limit/2+limit/10))
+	h.refuseLongRequests(plan.RespondBy)
+	time.Sleep(time.Until(plan.AcceptUntil))
 	_ = entry.Close()
 	h.entry.CloseIdle()
-	if !h.entry.Wait(limit - time.Since(began)) {
-		h.logUnfinished(began)
+	if !h.entry.Wait(time.Until(plan.RespondBy)) {
+		h.logUnfinished(plan.Began)
+	}
+}
+
+// refuseLongRequests refuses the requests that might not complete before the given
+// time: those that wait now, and those that arrive later.
+func (h *Host) refuseLongRequests(respondBy time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deliver(h.scheduler.Stop(time.Now(), respondBy))
+}
+
+// stoppingRetryAfter returns the delay after which a caller should send a request
+// again that this host refuses because it stops: none, unless other hosts that the
+// caller's cached lookup names stop, too.
+func (h *Host) stoppingRetryAfter() time.Duration {
+	h.rosterMu.Lock()
+	defer h.rosterMu.Unlock()
+	if h.roster.PeersLeaving(time.Now()) {
+		return lookupTTL
 	}
+	return 0
 }
 
 // logUnfinished logs the requests that the stop, which began at the given time,
--- a/pkg/result/table.go
+++ b/pkg/result/table.go
@@ -24,7 +24,7 @@
 	{ServedReplay, "served-replay", http.StatusOK, true, "The request had run before; the stored response follows.", "None."},
 
 	{NotReady, "not-ready", http.StatusServiceUnavailable, true, "The host has no configuration yet.", "Use the next host of the lookup response."},
-	{Stopping, "stopping", http.StatusServiceUnavailable, true, "The host is shutting down.", "Look up again."},
+	{Stopping, "stopping", http.StatusServiceUnavailable, true, "The host is shutting down, and the request might not complete before.", "Look up again, or use another host of the lookup response."},
 	{UnknownService, "unknown-service", http.StatusNotFound, true, "The document has no such service.", "Correct the service name."},
 	{UnknownRank, "unknown-rank", http.StatusBadRequest, true, "The document has no such rank.", "Correct the rank."},
 	{BadRequest, "bad-request", http.StatusBadRequest, true, "A header is missing or malformed.", "Correct the request."},
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -467,6 +467,16 @@
 	return live
 }
 
+// PeersLeaving reports whether another host of the region is leaving now.
+func (r *Roster) PeersLeaving(now time.Time) bool {
+	for _, m := range r.members {
+		if m.heartbeat.Region == r.self.heartbeat.Region && m.heartbeat.State == Leaving && r.isLive(now, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // Entries returns up to count ready hosts of a region, spread over its failure
 // domains. Hosts with the same view choose the same ones, and few change when
 // a host comes or goes.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -169,6 +169,28 @@
 	}
 }
 
+// Guards against callers that are sent from one stopping host to the next.
+func TestPeersLeavingAreThoseOfTheRegionThatStillRun(t *testing.T) {
+	r := newRoster(newHeartbeat("self", "west", "west-a"))
+	leave := func(id, region string) {
+		heartbeat := newHeartbeat(id, region, region+"-a")
+		heartbeat.State = Leaving
+		r.Receive(start, heartbeat, 0)
+	}
+	leave("far", "east")
+	r.Receive(start, newHeartbeat("near", "west", "west-a"), 0)
+	if r.PeersLeaving(start) {
+		t.Error("a host of another region, or one that is ready, counts as leaving")
+	}
+	leave("other", "west")
+	if !r.PeersLeaving(start) {
+		t.Error("a leaving host of the region does not count")
+	}
+	if r.PeersLeaving(start.Add(LocalTimeout)) {
+		t.Error("a host that has ended counts as leaving")
+	}
+}
+
 // Guards against old heartbeats that replace those of a later start, and against
 // heartbeats without addresses that create a member.
 func TestOlderHeartbeatsChangeNothing(t *testing.T) {
--- a/pkg/scheduler/estimate.go
+++ b/pkg/scheduler/estimate.go
@@ -20,6 +20,7 @@
 // a queue: warm if the server holds the object's state, cold if it does not.
 type classEstimate struct {
 	warm, cold time.Duration
+	history    runHistory
 }
 
 func newClassEstimate(target time.Duration) *classEstimate {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -81,11 +81,13 @@
 	NoServer
 	QueueFull
 	WouldMissDeadline
+	// HostStopping refuses a job that might not complete before the host stops.
+	HostStopping
 )
 
 // String returns the reason as it is logged.
 func (r Reason) String() string {
-	return [...]string{"not-refused", "no-server", "queue-full", "would-miss-deadline"}[r]
+	return [...]string{"not-refused", "no-server", "queue-full", "would-miss-deadline", "host-stopping"}[r]
 }
 
 // Verdict is a decision on one job.
@@ -121,6 +123,8 @@
 	classes  map[string]*classEstimate
 	// rtt has the round trip time to the servers of each other region.
 	rtt map[string]time.Duration
+	// stopAt is when the host stops, or zero.
+	stopAt time.Time
 }
 
 type service struct {
@@ -163,7 +167,8 @@
 // expected to respond before the deadline.
 func (s *Scheduler) CanStart(now time.Time, job *Job) bool {
 	best, ok := s.best(now, s.service(job.Service), job, nil)
-	return ok && best.server.hasFreeSlot(now, s.service(job.Service).reserved(now, job)) && !now.Add(best.total()).After(job.Deadline)
+	return ok && best.server.hasFreeSlot(now, s.service(job.Service).reserved(now, job)) && !now.Add(best.total()).After(job.Deadline) &&
+		s.completesBeforeStop(now, job, best)
 }
 
 // Cancel removes a waiting job whose request was cancelled.
@@ -270,19 +275,11 @@
 	if !ok {
 		return Verdict{Job: job, Refused: NoServer, RetryAfter: s.retryAfterNoServer(now, svc, job)}, true
 	}
+	if !s.completesBeforeStop(now, job, best) {
+		return refusal(now, job, best, HostStopping, 0), true
+	}
 	if now.Add(best.total()).After(job.Deadline) || s.isLateTooLong(now, job) {
-		return Verdict{
-			Job:        job,
-			Refused:    WouldMissDeadline,
-			RetryAfter: min(max(best.wait, MinRetryAfter), maxRetryAfter),
-			Best:       best.server.ID,
-			Expected:   best.total(),
-			Longest:    best.longest,
-			Wait:       best.wait,
-			Known:      best.known,
-			Rank:       best.rank,
-			Busy:       best.server.busy(now),
-		}, true
+		return refusal(now, job, best, WouldMissDeadline, min(max(best.wait, MinRetryAfter), maxRetryAfter)), true
 	}
 	if !best.server.hasFreeSlot(now, svc.reserved(now, job)) {
 		ahead[best.server]++
@@ -303,6 +300,22 @@
 	}, true
 }
 
+// refusal returns the verdict that refuses a job because of its best option.
+func refusal(now time.Time, job *Job, best option, reason Reason, retryAfter time.Duration) Verdict {
+	return Verdict{
+		Job:        job,
+		Refused:    reason,
+		RetryAfter: retryAfter,
+		Best:       best.server.ID,
+		Expected:   best.total(),
+		Longest:    best.longest,
+		Wait:       best.wait,
+		Known:      best.known,
+		Rank:       best.rank,
+		Busy:       best.server.busy(now),
+	}
+}
+
 // isLateTooLong reports whether a job that can no longer meet its target has
 // waited so long behind those that can that it is refused: its caller may have
 // more success with a retry.
--- a/pkg/scheduler/server.go
+++ b/pkg/scheduler/server.go
@@ -258,6 +258,7 @@
 	if job.Sticky {
 		server.recordHeld(now, job.Object.Key)
 	}
+	s.class(job).history.add(took)
 	queued := job.run.expected - job.run.serviceTime
 	serviceTime := max(took-queued, 0)
 	if ratio < slownessDeadband {
--- /dev/null
+++ b/pkg/scheduler/stop.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// recentRuns is the number of completed runs of a class whose longest bounds the
+	// next one: an estimate of the mean would cut off every slow run.
+	recentRuns = 64
+	// stopFactor is the ratio of the longest expected run to its estimate while a
+	// class has completed few runs.
+	stopFactor = 3
+)
+
+// runHistory has the durations of the latest completed runs of a class.
+type runHistory struct {
+	took []time.Duration
+	next int
+}
+
+func (h *runHistory) add(took time.Duration) {
+	if len(h.took) < recentRuns {
+		h.took = append(h.took, took)
+		return
+	}
+	h.took[h.next] = took
+	h.next = (h.next + 1) % recentRuns
+}
+
+func (h *runHistory) longest() time.Duration {
+	if len(h.took) == 0 {
+		return 0
+	}
+	return slices.Max(h.took)
+}
+
+// Stop sets the time at which the host stops. From now on a job starts only if even
+// a slow run completes before, and is refused at once otherwise: its caller has the
+// time to use another host. It returns verdicts on jobs that wait.
+func (s *Scheduler) Stop(now, at time.Time) []Verdict {
+	s.stopAt = at
+	return s.Tick(now)
+}
+
+// completesBeforeStop reports whether a run on the server of the option completes
+// before the host stops, even if it is slow. A job whose deadline comes first loses
+// nothing by the stop.
+func (s *Scheduler) completesBeforeStop(now time.Time, job *Job, o option) bool {
+	if s.stopAt.IsZero() || !job.Deadline.After(s.stopAt) {
+		return true
+	}
+	run := max(s.class(job).history.longest(), stopFactor*(o.longest-o.wait))
+	return !now.Add(o.wait + run).After(s.stopAt)
+}
--- /dev/null
+++ b/pkg/scheduler/stop_test.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// stoppingScheduler has completed runs of a class that took the given times.
+func stoppingScheduler(t *testing.T, runs ...time.Duration) *Scheduler {
+	t.Helper()
+	s := newScheduler(servers(4, 3))
+	for i, took := range runs {
+		at := start.Add(time.Duration(i) * time.Second)
+		job := newJob(at, fmt.Sprint(i), 0, time.Minute)
+		if granted(s.Submit(at, job), job) == "" {
+			t.Fatal("an idle server was not granted")
+		}
+		s.Done(at.Add(took), job, Succeeded, nil)
+	}
+	return s
+}
+
+// Guards against a job that a stopping host starts although it is cut off at the stop.
+func TestStoppingHostStartsOnlyWhatItCompletes(t *testing.T) {
+	runs := make([]time.Duration, recentRuns)
+	for i := range runs {
+		runs[i] = 300 * time.Millisecond
+	}
+	const slow = 2500 * time.Millisecond
+	runs[10] = slow
+	now := start.Add(time.Hour)
+	for left, want := range map[time.Duration]Reason{
+		slow - 100*time.Millisecond: HostStopping,
+		slow + 100*time.Millisecond: NotRefused,
+	} {
+		s := stoppingScheduler(t, runs...)
+		s.Stop(now, now.Add(left))
+		job := newJob(now, "late", 0, 10*time.Second)
+		verdicts := s.Submit(now, job)
+		if len(verdicts) != 1 || verdicts[0].Refused != want {
+			t.Errorf("%v before the stop: %+v, want %v", left, verdicts, want)
+		}
+		if want == HostStopping && verdicts[0].RetryAfter != 0 {
+			t.Errorf("callers wait %v before they use another host", verdicts[0].RetryAfter)
+		}
+	}
+}
+
+// Guards against refusals of jobs whose own deadline comes before the stop.
+func TestJobsThatEndBeforeTheStopAreNotRefused(t *testing.T) {
+	s := stoppingScheduler(t, 4*time.Second)
+	now := start.Add(time.Hour)
+	s.Stop(now, now.Add(2*time.Second))
+	job := newJob(now, "short", 0, 1900*time.Millisecond)
+	if granted(s.Submit(now, job), job) == "" {
+		t.Error("a job was refused although its deadline comes before the stop")
+	}
+}
+
+// Guards against slow first runs that a host starts before it has seen one.
+func TestStoppingHostAllowsForSlowRunsItHasNotSeen(t *testing.T) {
+	s := newScheduler(servers(4, 3))
+	job := newJob(start, "a", 0, time.Minute)
+	expected := s.class(job).cold
+	s.Stop(start, start.Add(2*expected))
+	if verdicts := s.Submit(start, job); len(verdicts) != 1 || verdicts[0].Refused != HostStopping {
+		t.Errorf("%+v with twice the expected time left, want a refusal", verdicts)
+	}
+	if s.CanStart(start, job) {
+		t.Error("an overdue job may be moved to a server that does not complete it")
+	}
+}
+
+// Guards against jobs that wait for a server until the host stops.
+func TestWaitingJobsAreRefusedOnceTheyCannotComplete(t *testing.T) {
+	s := newScheduler(servers(1, 1))
+	running, waiting := newJob(start, "a", 0, time.Minute), newJob(start, "a", 0, time.Minute)
+	s.Submit(start, running)
+	if verdicts := s.Submit(start, waiting); len(verdicts) != 0 {
+		t.Fatalf("%+v, want a job that waits", verdicts)
+	}
+	stopAt := start.Add(5 * time.Second)
+	if verdicts := s.Stop(start, stopAt); len(verdicts) != 0 {
+		t.Errorf("%+v although enough time is left", verdicts)
+	}
+	for now := start; now.Before(stopAt); now = now.Add(100 * time.Millisecond) {
+		if verdicts := s.Tick(now); len(verdicts) == 1 {
+			if verdicts[0].Refused != HostStopping {
+				t.Errorf("%+v, want a refusal", verdicts)
+			}
+			return
+		}
+	}
+	t.Error("the job waited until the host stopped")
+}
