Serve connections that are accepted while a host stops

Seen by callers: a reset on a connection whose handshake was complete, some with a request sent. Cause: the stop closed the listener, which resets what the kernel had queued for it. A connection that Accept had returned but that was not registered yet was not covered by Wait, so the process could exit before serving it. Evidence, on: TestWaitCoversAConnectionBeingAccepted "Wait returned before the accepted connection was served"; TestQueuedConnectionsAreServedAtAStop, with the order of the stop there (listener closed, then CloseIdle), "no response: connection reset by peer". Change: CloseIdle interrupts Accept; Serve then accepts until the queue is empty, for at most lastRequestWait, and closes the listener itself. Wait also waits for Serve, so its counter cannot reach zero while a connection is being accepted. The queue is served only if the listener is still open when CloseIdle is called; internal/host closes it before and is to be changed with this.

--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,8 +60,9 @@
 	draining atomic.Bool
 	memory   *bounded.Budget
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
 	// closing is set once CloseIdle was called.
 	closing bool
 	wg      sync.WaitGroup
@@ -72,56 +74,56 @@
 	return &Server{handler: handler, limits: limits, memory: bounded.New(bodyMemory), conns: make(map[*conn]struct{})}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed or CloseIdle is called.
 func (s *Server) Serve(l net.Listener) error {
 	const acceptPause = 20 * time.Millisecond // lets file descriptors be closed if the process is out of them
+	s.wg.Add(1)
+	defer s.wg.Done()
+	s.mu.Lock()
+	s.listener = l
+	s.interruptAccept()
+	s.mu.Unlock()
 	for {
 		raw, err := l.Accept()
 		var temporary net.Error
 		switch {
+		case err == nil:
+			s.start(raw)
 		case errors.Is(err, net.ErrClosed):
 			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.acceptQueued(l)
+			return nil
 		case errors.As(err, &temporary):
 			time.Sleep(acceptPause)
-			continue
-		case err != nil:
+		default:
 			return err
 		}
-		c := newConn(s, raw)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		if s.closing {
-			c.finishReading()
-		}
-		s.mu.Unlock()
-		s.wg.Add(1)
-		go func() {
-			defer s.wg.Done()
-			c.serve()
-			s.mu.Lock()
-			delete(s.conns, c)
-			s.mu.Unlock()
-		}()
 	}
 }
 
-// Drain closes each connection after the response to its next request.
-func (s *Server) Drain() { s.draining.Store(true) }
-
-// CloseIdle closes the connections that have no request in flight and on which
-// none arrives within lastRequestWait, and the others after their responses.
-func (s *Server) CloseIdle() {
-	s.Drain()
+// start serves an accepted connection.
+func (s *Server) start(raw net.Conn) {
+	c := newConn(s, raw)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closing = true
-	for c := range s.conns {
+	s.conns[c] = struct{}{}
+	if s.closing {
 		c.finishReading()
 	}
+	s.mu.Unlock()
+	s.wg.Go(func() {
+		c.serve()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
 }
 
-// Wait waits until all connections are closed, at most for limit. It reports
-// whether they are.
+// Drain closes each connection after the response to its next request.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Wait waits until Serve has ended and all connections are closed, at most for
+// limit. It reports whether they are.
 func (s *Server) Wait(limit time.Duration) bool {
 	done := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/internal/callers/shutdown_test.go
@@ -0,0 +1,127 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const (
+	shortRequest = "GET /p HTTP/1.1\r\nHost: h\r\n\r\n"
+	// settleTime is the time in which the server sees what was sent to it.
+	settleTime = 50 * time.Millisecond
+)
+
+func respondOK(_ context.Context, r *Request) Response {
+	return Response{Status: http.StatusOK, Header: http.Header{}, Body: r.Body}
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Error(err)
+	}
+}
+
+// receive reads a response with its body.
+func receive(t *testing.T, r *bufio.Reader) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		t.Fatalf("no whole response: %v", err)
+	}
+	_ = resp.Body.Close()
+	return resp
+}
+
+// gatedListener delays accepted connections, or the accepting, until the gate is
+// open.
+type gatedListener struct {
+	*net.TCPListener
+	beforeAccept, afterAccept chan struct{}
+	accepted                  chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.beforeAccept
+	conn, err := l.TCPListener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		<-l.afterAccept
+	}
+	return conn, err
+}
+
+func startGated(t *testing.T) (*Server, *gatedListener) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &gatedListener{
+		TCPListener:  inner.(*net.TCPListener),
+		beforeAccept: make(chan struct{}), afterAccept: make(chan struct{}), accepted: make(chan struct{}, 64),
+	}
+	limits := Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Second, BodyTimeout: time.Second, IdleTimeout: time.Second}
+	server := NewServer(respondOK, func() Limits { return limits }, 1<<20)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		if err := <-ended; err != nil {
+			t.Errorf("server ended: %v", err)
+		}
+	})
+	return server, listener
+}
+
+// Guards against a process that exits while it holds a connection that it has just
+// accepted.
+func TestWaitCoversAConnectionBeingAccepted(t *testing.T) {
+	server, listener := startGated(t)
+	close(listener.beforeAccept)
+	conn := dialServer(t, listener.Addr())
+	<-listener.accepted
+	_ = listener.Close()
+	server.CloseIdle()
+	waited := make(chan bool, 1)
+	go func() { waited <- server.Wait(5 * time.Second) }()
+	select {
+	case <-waited:
+		t.Error("Wait returned before the accepted connection was served")
+	case <-time.After(settleTime):
+	}
+	close(listener.afterAccept)
+	send(t, conn, shortRequest)
+	receive(t, bufio.NewReader(conn))
+}
+
+// Guards against a stop that resets the connections in the kernel's queue.
+func TestQueuedConnectionsAreServedAtAStop(t *testing.T) {
+	const queued = 20
+	server, listener := startGated(t)
+	close(listener.afterAccept)
+	var conns []net.Conn
+	for range queued {
+		conn := dialServer(t, listener.Addr())
+		send(t, conn, shortRequest)
+		conns = append(conns, conn)
+	}
+	server.CloseIdle()
+	close(listener.beforeAccept)
+	for _, conn := range conns {
+		if resp := receive(t, bufio.NewReader(conn)); !resp.Close {
+			t.Error("the connection stays open")
+		}
+	}
+	if !server.Wait(5 * time.Second) {
+		t.Error("the server does not end")
+	}
+}
