Close idle connections without reading from them

Seen by callers: on a kept connection, a request that crossed the close of an idle connection was read and never answered; the connection ended 0.5 s later, with no sign that the request had not run. It happens at a stop and at the idle timeout. Cause: every close discarded what arrived for lingerTimeout, also when there was no response to protect. And a read whose deadline has passed fails although bytes have arrived, so a request that was there at the deadline was not seen. Evidence, on the commit before: TestIdleCloseReadsNoRequest "no reset: the request was read and not answered"; TestRequestThatArrivedBeforeTheIdleCloseIsServed "no response: unexpected EOF". Change: an idle connection is closed at once if the kernel holds no bytes for it; the kernel resets what arrives later. If it holds some, they are read and served. Bytes behind a last response are discarded as before, so that a reset does not overtake the response.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -21,15 +21,7 @@
 	maxPipelined = 32
 	// writeTimeout ends a connection whose caller does not read its responses.
 	writeTimeout = 10 * time.Second
-	// lingerTimeout is how long unread bytes are discarded after the last
-	// response: closing with unread bytes resets the connection, possibly before
-	// the response arrives.
-	lingerTimeout = 500 * time.Millisecond
-	// lastRequestWait is how long a connection without a request is kept after the
-	// server was told to close it: a request may be on its way, or may have arrived
-	// on a connection that was just accepted.
-	lastRequestWait = 200 * time.Millisecond
-	readBuffer      = 4 << 10
+	readBuffer   = 4 << 10
 	// headerSlack allows for the request line, on top of the header limit.
 	headerSlack = 1 << 10
 	// unknownSize is the length given for a chunked body.
@@ -44,6 +36,18 @@
 	last     bool
 }
 
+// ending is why a connection ends.
+type ending int
+
+const (
+	// callerClosed means that the caller closed the connection.
+	callerClosed ending = iota
+	// idle means that no request was in flight and none arrived in time.
+	idle
+	// afterResponse means that the last response announces the end.
+	afterResponse
+)
+
 type conn struct {
 	server  *Server
 	raw     net.Conn
@@ -74,27 +78,25 @@
 		defer close(written)
 		c.writeResponses(pending, cancel)
 	}()
-	disconnected := c.readRequests(ctx, pending)
+	end := c.readRequests(ctx, pending)
 	close(pending)
-	if disconnected {
+	if end == callerClosed {
 		cancel()
 	}
 	<-written
-	c.lingerAndClose(disconnected)
+	c.close(end)
 }
 
-// readRequests reads and starts requests until no further one may follow. It
-// reports whether the caller has closed the connection.
-func (c *conn) readRequests(ctx context.Context, pending chan<- *exchange) (disconnected bool) {
+// readRequests reads and starts requests until no further one may follow.
+func (c *conn) readRequests(ctx context.Context, pending chan<- *exchange) ending {
 	for {
 		limits := c.server.limits()
-		stop, disconnected := c.awaitRequest(limits)
-		if stop {
-			return disconnected
+		if end, ended := c.awaitRequest(limits); ended {
+			return end
 		}
 		req, refusal := c.readRequest(limits)
 		if req == nil && refusal == nil {
-			return true
+			return callerClosed
 		}
 		ex := &exchange{ready: make(chan struct{})}
 		if refusal != nil {
@@ -103,7 +105,7 @@
 			close(ex.ready)
 			c.beginRequest()
 			pending <- ex
-			return false
+			return afterResponse
 		}
 		ex.method = req.Method
 		ex.last = req.Close || c.server.draining.Load()
@@ -141,55 +143,6 @@
 	return c.inFlight > 0
 }
 
-// stopReading interrupts the wait for the next request.
-func (c *conn) stopReading() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopped = true
-	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
-}
-
-// finishReading ends the wait for the next request after lastRequestWait. A request
-// that has begun to arrive is read and served.
-func (c *conn) finishReading() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.finishBy = time.Now().Add(lastRequestWait)
-	if c.awaiting && !c.stopped {
-		_ = c.raw.SetReadDeadline(c.finishBy)
-	}
-}
-
-// beginAwaiting sets the deadline of the wait for the next request, unless
-// stopReading was called.
-func (c *conn) beginAwaiting(idle time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.stopped {
-		return false
-	}
-	c.awaiting = true
-	deadline := time.Now().Add(idle)
-	if !c.finishBy.IsZero() {
-		deadline = c.finishBy
-	}
-	_ = c.raw.SetReadDeadline(deadline)
-	return true
-}
-
-func (c *conn) endAwaiting() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaiting = false
-}
-
-// isFinished reports whether no further request is awaited.
-func (c *conn) isFinished() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stopped || !c.finishBy.IsZero() && !time.Now().Before(c.finishBy)
-}
-
 // setReadDeadline sets the deadline d from now, unless stopReading was called.
 func (c *conn) setReadDeadline(d time.Duration) bool {
 	c.mu.Lock()
@@ -202,43 +155,50 @@
 }
 
 // awaitRequest waits for the first byte of the next request.
-func (c *conn) awaitRequest(limits Limits) (stop, disconnected bool) {
+func (c *conn) awaitRequest(limits Limits) (end ending, ended bool) {
 	defer c.endAwaiting()
 	for {
 		if !c.beginAwaiting(limits.IdleTimeout) {
-			return true, false
+			return afterResponse, true
 		}
 		c.limited.Left = int64(limits.MaxHeaderBytes) + headerSlack
 		_, err := c.reader.Peek(1)
 		switch {
 		case err == nil:
-			return false, false
+			return 0, false
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return true, true
-		case c.busy() && !c.isFinished():
-			continue
-		default:
-			return true, false
+			return callerClosed, true
+		case c.isStopped():
+			return afterResponse, true
+		case c.busy():
+			if c.isFinished() {
+				return afterResponse, true
+			}
+		case !c.hasInput():
+			return idle, true
 		}
 	}
 }
 
 // awaitClose watches for the caller's close while the last request runs.
-func (c *conn) awaitClose(ctx context.Context) (disconnected bool) {
+func (c *conn) awaitClose(ctx context.Context) ending {
 	for c.busy() {
 		const step = 5 * time.Second
 		if !c.setReadDeadline(step) {
-			return false
+			return afterResponse
 		}
 		c.limited.Left = readBuffer
 		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				continue
 			}
-			return !errors.Is(err, bufio.ErrBufferFull) && ctx.Err() == nil
+			if errors.Is(err, bufio.ErrBufferFull) || ctx.Err() != nil {
+				return afterResponse
+			}
+			return callerClosed
 		}
 	}
-	return false
+	return afterResponse
 }
 
 // readRequest reads one request with its body, or returns the error response to
@@ -405,14 +365,3 @@
 func hasBody(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
-
-// lingerAndClose closes the connection after the caller could read the last
-// response, at most lingerTimeout later.
-func (c *conn) lingerAndClose(disconnected bool) {
-	if tcp, ok := c.raw.(*net.TCPConn); ok && !disconnected {
-		_ = tcp.CloseWrite()
-		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, c.raw)
-	}
-	_ = c.raw.Close()
-}
--- a/internal/callers/shutdown.go
+++ b/internal/callers/shutdown.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -8,6 +9,20 @@
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// lingerTimeout is how long unread bytes are discarded after the last
+	// response: closing with unread bytes resets the connection, possibly before
+	// the response arrives.
+	lingerTimeout = 500 * time.Millisecond
+	// lastRequestWait is how long a connection without a request is kept after the
+	// server was told to close it: a request may be on its way, or may have arrived
+	// on a connection that was just accepted.
+	lastRequestWait = 200 * time.Millisecond
+	// minReadTime is the shortest time for which a read waits: one whose deadline
+	// has passed fails although bytes have arrived.
+	minReadTime = 10 * time.Millisecond
+)
+
 // CloseIdle stops accepting connections. It closes those that have no request in
 // flight and on which none arrives within lastRequestWait, and the others after
 // their responses.
@@ -72,3 +87,81 @@
 	})
 	return err == nil && ready
 }
+
+// stopReading interrupts the wait for the next request.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+}
+
+// finishReading ends the wait for the next request after lastRequestWait. A request
+// that has begun to arrive is read and served.
+func (c *conn) finishReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finishBy = time.Now().Add(lastRequestWait)
+	if c.awaiting && !c.stopped {
+		_ = c.raw.SetReadDeadline(c.finishBy)
+	}
+}
+
+// beginAwaiting sets the deadline of the wait for the next request, unless
+// stopReading was called.
+func (c *conn) beginAwaiting(timeout time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return false
+	}
+	c.awaiting = true
+	now := time.Now()
+	deadline := now.Add(timeout)
+	if !c.finishBy.IsZero() {
+		deadline = c.finishBy
+	}
+	if earliest := now.Add(minReadTime); deadline.Before(earliest) {
+		deadline = earliest
+	}
+	_ = c.raw.SetReadDeadline(deadline)
+	return true
+}
+
+func (c *conn) endAwaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = false
+}
+
+// isFinished reports whether no further request is awaited.
+func (c *conn) isFinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.finishBy.IsZero() && !time.Now().Before(c.finishBy)
+}
+
+func (c *conn) isStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
+// hasInput reports whether bytes or the caller's close have arrived.
+func (c *conn) hasInput() bool {
+	sys, ok := c.raw.(syscall.Conn)
+	return ok && hasInput(sys)
+}
+
+// close closes the connection. After the last response, bytes that arrive are
+// discarded for at most lingerTimeout, until the caller closes. On an idle
+// connection nothing is read: a request that crosses the close is reset, which
+// tells its caller that it was not read.
+func (c *conn) close(end ending) {
+	if tcp, ok := c.raw.(*net.TCPConn); ok && end == afterResponse {
+		_ = tcp.CloseWrite()
+		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.Copy(io.Discard, c.raw)
+	}
+	_ = c.raw.Close()
+}
--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -125,3 +128,64 @@
 		t.Error("the server does not end")
 	}
 }
+
+// socketError returns the pending error of the caller's socket.
+func socketError(t *testing.T, conn *net.TCPConn) (failure error) {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) {
+		code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+		failure = err
+		if code != 0 {
+			failure = unix.Errno(code)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return failure
+}
+
+// Guards against a close of an idle connection that reads a request in transit and
+// leaves its caller without a sign that it was not run.
+func TestIdleCloseReadsNoRequest(t *testing.T) {
+	server, address := startStoppableServer(t, respondOK)
+	conn := dialServer(t, address)
+	replies := bufio.NewReader(conn)
+	server.CloseIdle()
+	if _, err := replies.Peek(1); !errors.Is(err, io.EOF) {
+		t.Fatalf("%v, want the end of the connection", err)
+	}
+	send(t, conn, shortRequest)
+	for until := time.Now().Add(2 * time.Second); socketError(t, conn) == nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("no reset: the request was read and not answered")
+		}
+	}
+}
+
+// Guards against closing a connection as idle on which a request has arrived just
+// before.
+func TestRequestThatArrivedBeforeTheIdleCloseIsServed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	server, _ := startStoppableServer(t, respondOK)
+	conn := dialServer(t, listener.Addr())
+	raw, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	send(t, conn, shortRequest)
+	served := newConn(server, raw)
+	for !hasInput(raw.(*net.TCPConn)) {
+		time.Sleep(time.Millisecond)
+	}
+	served.finishBy = time.Now()
+	go served.serve()
+	receive(t, bufio.NewReader(conn))
+}
