Announce the end of a connection in responses that a stop overtakes

Seen by callers: a response without "Connection: close" on a connection that the stopping host was about to close; the next request on it crossed the close. Cause: whether a response is the last one was decided when its request was read. Requests read before Drain got responses that keep the connection. A connection that was busy at the end of lastRequestWait also stopped reading and closed behind such a response. Change: while the server drains, the writer decides just before it writes, under the lock that the reader takes when the first byte of a request has arrived and when the request is in flight. A request in flight, buffered, or in the kernel keeps the connection; it then gets the last response. A busy connection waits for further requests until that response, also past lastRequestWait.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -57,6 +57,10 @@
 	mu       sync.Mutex
 	stopped  bool
 	inFlight int
+	// begun is set while bytes of a request that is not in flight have arrived.
+	begun bool
+	// ending is set once a response was chosen to be the last.
+	ending bool
 	// finishBy, if set, is when the wait for a last request ends.
 	finishBy time.Time
 	// awaiting is set while the connection waits for the next request.
@@ -127,14 +131,15 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	c.inFlight++
+	c.begun = c.reader.Buffered() > 0
 	c.mu.Unlock()
 }
 
-func (c *conn) endRequest() (idle bool) {
+func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
-	return c.inFlight == 0
+	c.awaitLast()
 }
 
 func (c *conn) busy() bool {
@@ -165,16 +170,12 @@
 		_, err := c.reader.Peek(1)
 		switch {
 		case err == nil:
-			return 0, false
+			return afterResponse, !c.beginReading()
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return callerClosed, true
 		case c.isStopped():
 			return afterResponse, true
-		case c.busy():
-			if c.isFinished() {
-				return afterResponse, true
-			}
-		case !c.hasInput():
+		case c.isIdle() && !c.hasInput():
 			return idle, true
 		}
 	}
@@ -314,7 +315,7 @@
 	for ex := range pending {
 		<-ex.ready
 		if !done {
-			last := ex.last || ex.response.Close
+			last := ex.last || ex.response.Close || c.endWhileDraining()
 			if err := c.write(ex, last); err != nil {
 				done = true
 				cancel()
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -119,7 +119,8 @@
 	})
 }
 
-// Drain closes each connection after the response to its next request.
+// Drain closes each connection after the response to its next request, or to the
+// last one in flight if no further request has begun to arrive.
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Wait waits until Serve has ended and all connections are closed, at most for
--- a/internal/callers/shutdown.go
+++ b/internal/callers/shutdown.go
@@ -102,9 +102,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.finishBy = time.Now().Add(lastRequestWait)
-	if c.awaiting && !c.stopped {
-		_ = c.raw.SetReadDeadline(c.finishBy)
+	c.awaitLast()
+}
+
+// awaitLast starts the wait for a last request if the connection is idle and
+// finishReading was called. The caller holds mu.
+func (c *conn) awaitLast() {
+	if c.finishBy.IsZero() || c.inFlight > 0 || !c.awaiting || c.stopped {
+		return
 	}
+	c.finishBy = time.Now().Add(lastRequestWait)
+	_ = c.raw.SetReadDeadline(c.finishBy)
 }
 
 // beginAwaiting sets the deadline of the wait for the next request, unless
@@ -118,7 +126,7 @@
 	c.awaiting = true
 	now := time.Now()
 	deadline := now.Add(timeout)
-	if !c.finishBy.IsZero() {
+	if c.inFlight == 0 && !c.finishBy.IsZero() {
 		deadline = c.finishBy
 	}
 	if earliest := now.Add(minReadTime); deadline.Before(earliest) {
@@ -134,11 +142,37 @@
 	c.awaiting = false
 }
 
-// isFinished reports whether no further request is awaited.
-func (c *conn) isFinished() bool {
+// beginReading reports whether the request whose first byte has arrived is to be
+// read. It is not if it was sent behind the last response.
+func (c *conn) beginReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = true
+	return !c.ending
+}
+
+// endWhileDraining reports whether the response that is written next is the last
+// one because the server drains. It is not if another request is in flight or has
+// begun to arrive.
+func (c *conn) endWhileDraining() bool {
+	if !c.server.draining.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inFlight > 1 || c.begun || c.hasInput() {
+		return false
+	}
+	c.ending = true
+	return true
+}
+
+// isIdle reports whether no request is in flight and the wait for a last one, if
+// there is one, is over.
+func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.finishBy.IsZero() && !time.Now().Before(c.finishBy)
+	return c.inFlight == 0 && !time.Now().Before(c.finishBy)
 }
 
 func (c *conn) isStopped() bool {
--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -189,3 +190,55 @@
 	go served.serve()
 	receive(t, bufio.NewReader(conn))
 }
+
+// Guards against a stop after which callers go on using a connection because the
+// response to a request that was read before does not announce the end.
+func TestResponsesInProgressAnnounceTheEndAtAStop(t *testing.T) {
+	for what, stop := range map[string]func(*Server){
+		"drain":                      (*Server).Drain,
+		"close idle":                 (*Server).CloseIdle,
+		"close idle, slow responses": func(s *Server) { s.CloseIdle(); time.Sleep(2 * lastRequestWait) },
+	} {
+		for _, c := range []struct {
+			what, before, after string
+			responses           int
+		}{
+			{"one request", shortRequest, "", 1},
+			{"two requests", shortRequest + shortRequest, "", 2},
+			{"second one begun", shortRequest + shortRequest[:9], shortRequest[9:], 2},
+		} {
+			t.Run(what+" "+c.what, func(t *testing.T) {
+				t.Parallel()
+				entered, release := make(chan struct{}), make(chan struct{})
+				server, address := startStoppableServer(t, func(ctx context.Context, r *Request) Response {
+					entered <- struct{}{}
+					<-release
+					return respondOK(ctx, r)
+				})
+				conn := dialServer(t, address)
+				replies := bufio.NewReader(conn)
+				send(t, conn, c.before)
+				for range strings.Count(c.before, "\r\n\r\n") {
+					<-entered
+				}
+				go func() {
+					for range entered {
+					}
+				}()
+				stop(server)
+				close(release)
+				for i := range c.responses {
+					if i == 1 {
+						send(t, conn, c.after)
+					}
+					if resp := receive(t, replies); resp.Close != (i == c.responses-1) {
+						t.Errorf("response %d of %d: Connection: close is %v", i+1, c.responses, resp.Close)
+					}
+				}
+				if _, err := replies.Peek(1); !errors.Is(err, io.EOF) {
+					t.Errorf("%v, want the end of the connection", err)
+				}
+			})
+		}
+	}
+}
