Count the idle time of a connection from its last response

Seen by callers: a kept connection closed shortly after a response, below the idle timeout; the next request crossed the close. Cause: the wait for the next request began when the request before it had been read. If its response took nearly the idle timeout, the connection counted as idle right after it. A stop is not needed for this. Change: the time of the last response is recorded, and the deadline of the read is checked against it.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -57,6 +57,8 @@
 	mu       sync.Mutex
 	stopped  bool
 	inFlight int
+	// idleSince is when the last response was written, or the connection accepted.
+	idleSince time.Time
 	// begun is set while bytes of a request that is not in flight have arrived.
 	begun bool
 	// ending is set once a response was chosen to be the last.
@@ -69,7 +71,10 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	limit := &bounded.Reader{From: raw}
-	return &conn{server: s, raw: raw, limited: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
+	return &conn{
+		server: s, raw: raw, limited: limit, reader: bufio.NewReaderSize(limit, readBuffer),
+		idleSince: time.Now(),
+	}
 }
 
 // serve reads requests until the caller or the server ends the connection.
@@ -139,6 +144,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
+	c.idleSince = time.Now()
 	c.awaitLast()
 }
 
@@ -175,7 +181,7 @@
 			return callerClosed, true
 		case c.isStopped():
 			return afterResponse, true
-		case c.isIdle() && !c.hasInput():
+		case c.isIdle(limits.IdleTimeout) && !c.hasInput():
 			return idle, true
 		}
 	}
--- a/internal/callers/shutdown.go
+++ b/internal/callers/shutdown.go
@@ -126,8 +126,8 @@
 	c.awaiting = true
 	now := time.Now()
 	deadline := now.Add(timeout)
-	if c.inFlight == 0 && !c.finishBy.IsZero() {
-		deadline = c.finishBy
+	if c.inFlight == 0 {
+		deadline = c.idleUntil(timeout)
 	}
 	if earliest := now.Add(minReadTime); deadline.Before(earliest) {
 		deadline = earliest
@@ -167,12 +167,21 @@
 	return true
 }
 
-// isIdle reports whether no request is in flight and the wait for a last one, if
-// there is one, is over.
-func (c *conn) isIdle() bool {
+// isIdle reports whether no request is in flight and the wait for the next one is
+// over.
+func (c *conn) isIdle(timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inFlight == 0 && !time.Now().Before(c.finishBy)
+	return c.inFlight == 0 && !time.Now().Before(c.idleUntil(timeout))
+}
+
+// idleUntil returns when the wait for the next request ends if no request is in
+// flight. The caller holds mu.
+func (c *conn) idleUntil(timeout time.Duration) time.Time {
+	if !c.finishBy.IsZero() {
+		return c.finishBy
+	}
+	return c.idleSince.Add(timeout)
 }
 
 func (c *conn) isStopped() bool {
--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -242,3 +242,21 @@
 		}
 	}
 }
+
+// Guards against a connection that is closed as idle right after a response that
+// took long.
+func TestIdleTimeCountsFromTheLastResponse(t *testing.T) {
+	t.Parallel()
+	const idleTimeout = time.Second // of startStoppableServer
+	_, address := startStoppableServer(t, func(ctx context.Context, r *Request) Response {
+		time.Sleep(idleTimeout * 8 / 10)
+		return respondOK(ctx, r)
+	})
+	conn := dialServer(t, address)
+	replies := bufio.NewReader(conn)
+	send(t, conn, shortRequest)
+	receive(t, replies)
+	time.Sleep(idleTimeout / 2)
+	send(t, conn, shortRequest)
+	receive(t, replies)
+}
