Answer 408 to a head that is late, wherever it is cut

Seen by callers: 400 for a request whose head was still arriving at the header timeout. A 400 is final; a 408 says that the request has not run and may be sent again. Cause: the standard library's line reader drops a read error that follows bytes of a line, so a cut line was parsed as a whole one and found malformed. Change: the error of the last read is kept and takes precedence over the parser's. A head that the parser takes as whole is refused too if the read failed.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -48,9 +49,23 @@
 	afterResponse
 )
 
+// source reads from a connection and keeps the error of the last read, because
+// the standard library's parser drops one that ends a line.
+type source struct {
+	raw net.Conn
+	err error
+}
+
+func (s *source) Read(p []byte) (n int, err error) {
+	n, err = s.raw.Read(p)
+	s.err = err
+	return n, err
+}
+
 type conn struct {
 	server  *Server
 	raw     net.Conn
+	source  *source
 	limited *bounded.Reader
 	reader  *bufio.Reader
 
@@ -70,9 +85,10 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	limit := &bounded.Reader{From: raw}
+	from := &source{raw: raw}
+	limit := &bounded.Reader{From: from}
 	return &conn{
-		server: s, raw: raw, limited: limit, reader: bufio.NewReaderSize(limit, readBuffer),
+		server: s, raw: raw, source: from, limited: limit, reader: bufio.NewReaderSize(limit, readBuffer),
 		idleSince: time.Now(),
 	}
 }
@@ -213,7 +229,7 @@
 func (c *conn) readRequest(limits Limits) (*Request, *Response) {
 	c.setReadDeadline(limits.HeaderTimeout)
 	parsed, err := http.ReadRequest(c.reader)
-	if err != nil {
+	if err := cmp.Or(c.source.err, err); err != nil {
 		return nil, c.headerErrorResponse(err)
 	}
 	req := &Request{Request: parsed, Target: parsed.RequestURI, Received: time.Now()}
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// Guards against an error response that is final for a request whose head did not
+// arrive in time.
+func TestHeadThatArrivesTooLateTimesOut(t *testing.T) {
+	for _, head := range []string{"POST /p", "POST /p HTTP/1.1", "POST /p HTTP/1.1\r\nHost", "POST /p HTTP/1.1\r\nHost: h\r\n", "POST /p HTTP/1.1\r\nHost: h\r\n\r"} {
+		t.Run(head, func(t *testing.T) {
+			t.Parallel()
+			conn := dialServer(t, startServer(t, respondOK))
+			send(t, conn, head)
+			if resp := receive(t, bufio.NewReader(conn)); resp.StatusCode != http.StatusRequestTimeout {
+				t.Errorf("status %d, want %d", resp.StatusCode, http.StatusRequestTimeout)
+			}
+		})
+	}
+}
+
 // Guards against refusing or changing a whole body.
 func TestWholeBodiesAreServed(t *testing.T) {
 	for what, text := range map[string]string{
