--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -21,15 +22,7 @@
 	maxPipelined = 32
 	// writeTimeout ends a connection whose caller does not read its responses.
 	writeTimeout = 10 * time.Second
-	// lingerTimeout is how long unread bytes are discarded after the last
-	// response: closing with unread bytes resets the connection, possibly before
-	// the response arrives.
-	lingerTimeout = 500 * time.Millisecond
-	// lastRequestWait is how long a connection without a request is kept after the
-	// server was told to close it: a request may be on its way, or may have arrived
-	// on a connection that was just accepted.
-	lastRequestWait = 200 * time.Millisecond
-	readBuffer      = 4 << 10
+	readBuffer   = 4 << 10
 	// headerSlack allows for the request line, on top of the header limit.
 	headerSlack = 1 << 10
 	// unknownSize is the length given for a chunked body.
@@ -44,15 +37,51 @@
 	last     bool
 }
 
+// ending is why a connection ends.
+type ending int
+
+const (
+	// callerClosed means that the caller closed the connection.
+	callerClosed ending = iota
+	// idle means that no request was in flight and none arrived in time.
+	idle
+	// afterResponse means that the last response announces the end.
+	afterResponse
+)
+
+// source reads from a connection and keeps the error of the last read, because
+// the standard library's parser drops one that ends a line.
+type source struct {
+	raw net.Conn
+	err error
+}
+
+func (s *source) Read(p []byte) (n int, err error) {
+	n, err = s.raw.Read(p)
+	s.err = err
+	return n, err
+}
+
 type conn struct {
 	server  *Server
 	raw     net.Conn
+	source  *source
 	limited *bounded.Reader
 	reader  *bufio.Reader
 
-	mu       sync.Mutex
-	stopped  bool
+	mu      sync.Mutex
+	stopped bool
+	// refusing is set once requests that are not in flight are to be refused.
+	refusing bool
 	inFlight int
+	// idleSince is when the last response was written, or the connection accepted.
+	idleSince time.Time
+	// begun is set while bytes of a request that is not in flight have arrived.
+	begun bool
+	// continueDue is set while a 100 response waits for earlier responses.
+	continueDue bool
+	// ending is set once a response was chosen to be the last.
+	ending bool
 	// finishBy, if set, is when the wait for a last request ends.
 	finishBy time.Time
 	// awaiting is set while the connection waits for the next request.
@@ -60,8 +89,12 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	limit := &bounded.Reader{From: raw}
-	return &conn{server: s, raw: raw, limited: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
+	from := &source{raw: raw}
+	limit := &bounded.Reader{From: from}
+	return &conn{
+		server: s, raw: raw, source: from, limited: limit, reader: bufio.NewReaderSize(limit, readBuffer),
+		idleSince: time.Now(),
+	}
 }
 
 // serve reads requests until the caller or the server ends the connection.
@@ -74,40 +107,40 @@
 		defer close(written)
 		c.writeResponses(pending, cancel)
 	}()
-	disconnected := c.readRequests(ctx, pending)
+	end := c.readRequests(ctx, pending)
 	close(pending)
-	if disconnected {
+	if end == callerClosed {
 		cancel()
 	}
 	<-written
-	c.lingerAndClose(disconnected)
+	c.close(end)
 }
 
-// readRequests reads and starts requests until no further one may follow. It
-// reports whether the caller has closed the connection.
-func (c *conn) readRequests(ctx context.Context, pending chan<- *exchange) (disconnected bool) {
+// readRequests reads and starts requests until no further one may follow.
+func (c *conn) readRequests(ctx context.Context, pending chan<- *exchange) ending {
 	for {
 		limits := c.server.limits()
-		stop, disconnected := c.awaitRequest(limits)
-		if stop {
-			return disconnected
+		if end, ended := c.awaitRequest(limits); ended {
+			return end
 		}
 		req, refusal := c.readRequest(limits)
 		if req == nil && refusal == nil {
-			return true
+			return callerClosed
 		}
 		ex := &exchange{ready: make(chan struct{})}
+		if !c.beginRequest() && refusal == nil {
+			c.server.memory.Release(int64(cap(req.Body)))
+			refusal = retryLaterResponse()
+		}
 		if refusal != nil {
 			c.server.refused.Add(1)
 			ex.response, ex.last = *refusal, true
 			close(ex.ready)
-			c.beginRequest()
 			pending <- ex
-			return false
+			return afterResponse
 		}
 		ex.method = req.Method
 		ex.last = req.Close || c.server.draining.Load()
-		c.beginRequest()
 		go c.run(ctx, req, ex)
 		pending <- ex
 		if ex.last {
@@ -122,17 +155,30 @@
 	ex.response = c.server.handler(ctx, req)
 }
 
-func (c *conn) beginRequest() {
+// beginRequest counts a request as in flight. It reports whether the request may
+// be passed to the handler.
+func (c *conn) beginRequest() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.inFlight++
-	c.mu.Unlock()
+	c.begun = c.reader.Buffered() > 0
+	c.continueDue = false
+	return !c.refusing
 }
 
-func (c *conn) endRequest() (idle bool) {
+// endRequest counts a response as written. It reports whether the 100 response of
+// the next request is due.
+func (c *conn) endRequest() (continueDue bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
-	return c.inFlight == 0
+	c.idleSince = time.Now()
+	c.awaitLast()
+	if c.inFlight > 0 {
+		return false
+	}
+	continueDue, c.continueDue = c.continueDue, false
+	return continueDue
 }
 
 func (c *conn) busy() bool {
@@ -141,60 +187,23 @@
 	return c.inFlight > 0
 }
 
-// stopReading interrupts the wait for the next request.
-func (c *conn) stopReading() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopped = true
-	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
-}
-
-// finishReading ends the wait for the next request after lastRequestWait. A request
-// that has begun to arrive is read and served.
-func (c *conn) finishReading() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.finishBy = time.Now().Add(lastRequestWait)
-	if c.awaiting && !c.stopped {
-		_ = c.raw.SetReadDeadline(c.finishBy)
-	}
-}
-
-// beginAwaiting sets the deadline of the wait for the next request, unless
-// stopReading was called.
-func (c *conn) beginAwaiting(idle time.Duration) bool {
+// setReadDeadline sets the deadline d from now, unless stopReading was called.
+func (c *conn) setReadDeadline(d time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopped {
 		return false
 	}
-	c.awaiting = true
-	deadline := time.Now().Add(idle)
-	if !c.finishBy.IsZero() {
-		deadline = c.finishBy
-	}
-	_ = c.raw.SetReadDeadline(deadline)
+	_ = c.raw.SetReadDeadline(time.Now().Add(d))
 	return true
 }
 
-func (c *conn) endAwaiting() {
+// setRequestDeadline sets the deadline of a request that is being read, unless
+// stopReading or refuseUnread was called.
+func (c *conn) setRequestDeadline(d time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awaiting = false
-}
-
-// isFinished reports whether no further request is awaited.
-func (c *conn) isFinished() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stopped || !c.finishBy.IsZero() && !time.Now().Before(c.finishBy)
-}
-
-// setReadDeadline sets the deadline d from now, unless stopReading was called.
-func (c *conn) setReadDeadline(d time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.stopped {
+	if c.stopped || c.refusing {
 		return false
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(d))
@@ -202,51 +211,56 @@
 }
 
 // awaitRequest waits for the first byte of the next request.
-func (c *conn) awaitRequest(limits Limits) (stop, disconnected bool) {
+func (c *conn) awaitRequest(limits Limits) (end ending, ended bool) {
 	defer c.endAwaiting()
 	for {
 		if !c.beginAwaiting(limits.IdleTimeout) {
-			return true, false
+			return afterResponse, true
 		}
 		c.limited.Left = int64(limits.MaxHeaderBytes) + headerSlack
 		_, err := c.reader.Peek(1)
 		switch {
 		case err == nil:
-			return false, false
+			return afterResponse, !c.beginReading()
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return true, true
-		case c.busy() && !c.isFinished():
-			continue
-		default:
-			return true, false
+			return callerClosed, true
+		case c.isStopped():
+			return afterResponse, true
+		case c.isIdle(limits.IdleTimeout) && !c.hasInput():
+			return idle, true
 		}
 	}
 }
 
 // awaitClose watches for the caller's close while the last request runs.
-func (c *conn) awaitClose(ctx context.Context) (disconnected bool) {
+func (c *conn) awaitClose(ctx context.Context) ending {
 	for c.busy() {
 		const step = 5 * time.Second
 		if !c.setReadDeadline(step) {
-			return false
+			return afterResponse
 		}
 		c.limited.Left = readBuffer
 		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				continue
 			}
-			return !errors.Is(err, bufio.ErrBufferFull) && ctx.Err() == nil
+			if errors.Is(err, bufio.ErrBufferFull) || ctx.Err() != nil {
+				return afterResponse
+			}
+			return callerClosed
 		}
 	}
-	return false
+	return afterResponse
 }
 
 // readRequest reads one request with its body, or returns the error response to
 // send. Both are nil if the caller has closed the connection.
 func (c *conn) readRequest(limits Limits) (*Request, *Response) {
-	c.setReadDeadline(limits.HeaderTimeout)
+	if !c.setRequestDeadline(limits.HeaderTimeout) {
+		return nil, c.timeoutResponse()
+	}
 	parsed, err := http.ReadRequest(c.reader)
-	if err != nil {
+	if err := cmp.Or(c.source.err, err); err != nil {
 		return nil, c.headerErrorResponse(err)
 	}
 	req := &Request{Request: parsed, Target: parsed.RequestURI, Received: time.Now()}
@@ -257,13 +271,12 @@
 		return req, nil
 	}
 	if parsed.Header.Get("Expect") == "100-continue" {
-		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if !c.busy() {
-			_, _ = io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n")
-		}
+		c.requestContinue()
 	}
 	c.limited.Left = limits.MaxBodyBytes + int64(limits.MaxHeaderBytes)
-	c.setReadDeadline(limits.BodyTimeout)
+	if !c.setRequestDeadline(limits.BodyTimeout) {
+		return nil, c.timeoutResponse()
+	}
 	body, whole, refusal := c.readBody(parsed, limits)
 	if !whole {
 		return nil, refusal
@@ -272,12 +285,29 @@
 	return req, nil
 }
 
+// requestContinue sends the 100 response for which the caller holds the body back,
+// or has it sent after the responses to earlier requests.
+func (c *conn) requestContinue() {
+	c.mu.Lock()
+	c.continueDue = c.inFlight > 0
+	due := !c.continueDue
+	c.mu.Unlock()
+	if due {
+		c.writeContinue()
+	}
+}
+
+func (c *conn) writeContinue() {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, _ = io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n")
+}
+
 func (c *conn) headerErrorResponse(err error) *Response {
 	switch {
 	case c.limited.Left <= 0:
 		return errorResponse(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errorResponse(http.StatusRequestTimeout)
+		return c.timeoutResponse()
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetworkError(err):
 		return nil
 	default:
@@ -304,7 +334,7 @@
 	body = make([]byte, size)
 	if _, err := io.ReadFull(parsed.Body, body); err != nil {
 		c.server.memory.Release(size)
-		return nil, false, bodyErrorResponse(err)
+		return nil, false, c.bodyErrorResponse(cmp.Or(c.source.err, err))
 	}
 	return body, true, nil
 }
@@ -319,16 +349,16 @@
 	case errors.Is(err, bounded.ErrExhausted):
 		return nil, false, retryLaterResponse()
 	default:
-		return nil, false, bodyErrorResponse(err)
+		return nil, false, c.bodyErrorResponse(cmp.Or(c.source.err, err))
 	}
 }
 
 // bodyErrorResponse returns the response to a body that could not be read whole,
 // or nil if the caller has closed the connection.
-func bodyErrorResponse(err error) *Response {
+func (c *conn) bodyErrorResponse(err error) *Response {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errorResponse(http.StatusRequestTimeout)
+		return c.timeoutResponse()
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), isNetworkError(err):
 		return nil
 	default:
@@ -340,8 +370,17 @@
 	return &Response{Status: status, Header: http.Header{}, Close: true}
 }
 
-// retryLaterResponse refuses a body that exceeds the remaining memory budget of
-// this host.
+// timeoutResponse returns the response to a request that did not arrive whole in
+// time.
+func (c *conn) timeoutResponse() *Response {
+	if c.isRefusing() {
+		return retryLaterResponse()
+	}
+	return errorResponse(http.StatusRequestTimeout)
+}
+
+// retryLaterResponse refuses a request that did not run because its body exceeds
+// the remaining memory budget of this host, or because the host stops.
 func retryLaterResponse() *Response {
 	resp := errorResponse(http.StatusServiceUnavailable)
 	resp.Header.Set("Retry-After", "0.5")
@@ -354,7 +393,7 @@
 	for ex := range pending {
 		<-ex.ready
 		if !done {
-			last := ex.last || ex.response.Close
+			last := ex.last || ex.response.Close || c.endWhileDraining()
 			if err := c.write(ex, last); err != nil {
 				done = true
 				cancel()
@@ -365,7 +404,9 @@
 				c.stopReading()
 			}
 		}
-		c.endRequest()
+		if c.endRequest() && !done {
+			c.writeContinue()
+		}
 	}
 }
 
@@ -405,14 +446,3 @@
 func hasBody(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
-
-// lingerAndClose closes the connection after the caller could read the last
-// response, at most lingerTimeout later.
-func (c *conn) lingerAndClose(disconnected bool) {
-	if tcp, ok := c.raw.(*net.TCPConn); ok && !disconnected {
-		_ = tcp.CloseWrite()
-		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, c.raw)
-	}
-	_ = c.raw.Close()
-}
