Answer the requests that a shutdown cannot complete

Callers saw their connection close when a stopping host reached the end of its grace period: with a request at a server, with one that waited, with a body half sent, or with a lookup in transit.

Cause: the process exited 0.7 s before the kill, whatever was open.

Change: at that time each request in flight ends with a response of the host: 504 (result code 309) if a server may have run it, 503 if it waited, and 503 for one that is still arriving. The rest of the grace period is for the callers to read them. Connections of lookups are drained, too.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -206,7 +206,7 @@
 		select {
 		case <-work.Done():
 		case <-ctx.Done():
-			h.stop(listeners[0])
+			h.stop(lookups)
 		}
 		for _, l := range listeners {
 			_ = l.Close()
--- a/internal/host/inflight.go
+++ b/internal/host/inflight.go
@@ -56,3 +56,12 @@
 	}
 	return all
 }
+
+// cancelAll cancels the requests in flight. Each ends with a response of the host.
+func (f *inFlight) cancelAll(cause error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, flight := range f.requests {
+		flight.cancel(cause)
+	}
+}
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -324,7 +324,7 @@
 // the request may have run, and marks an unreachable server.
 func (r *requestState) handleFailure(ctx context.Context, job *scheduler.Job, f *upstream.Failure) *attemptFailure {
 	outcome := scheduler.Failed
-	if !f.Unreachable && errors.Is(f.Err, context.Canceled) && !r.moved.Load() {
+	if !f.Unreachable && isCancelled(f.Err) && !r.moved.Load() {
 		outcome = scheduler.Abandoned
 	}
 	if f.Unreachable {
@@ -336,6 +336,8 @@
 	case !f.Sent:
 		failure.notRun, failure.code = true, result.ConnectFailed
 		return failure
+	case errors.Is(f.Err, errHostStopped):
+		failure.code = result.StoppedAfterDispatch
 	case ctx.Err() != nil:
 		failure.code = result.DeadlineAfterDispatch
 	case f.InvalidResponse:
@@ -343,12 +345,18 @@
 	}
 	r.sentAttempts++
 	r.mayHaveRun = true
-	if failure.code != result.DeadlineAfterDispatch {
+	if ctx.Err() == nil {
 		r.handleConnectionLoss()
 	}
 	return failure
 }
 
+// isCancelled reports whether an attempt ended because its caller left or the host
+// stopped, which says nothing about the server.
+func isCancelled(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, errHostStopped)
+}
+
 // handleResponse ends an attempt with a response. It returns the response if
 // that is final, and a failure otherwise.
 func (r *requestState) handleResponse(job *scheduler.Job, received *upstream.Response, report Report) (*callers.Response, *attemptFailure) {
@@ -407,7 +415,11 @@
 // assigned to no (further) server.
 func (r *requestState) refusalResponse(ctx context.Context, v scheduler.Verdict) (callers.Response, result.Code) {
 	if ctx.Err() != nil && v.Refused == scheduler.NotRefused {
-		return r.failureResponse(&attemptFailure{err: ctx.Err(), notRun: !r.mayHaveRun, code: result.DeadlineBeforeRun})
+		code := result.DeadlineBeforeRun
+		if errors.Is(context.Cause(ctx), errHostStopped) {
+			code = result.Stopping
+		}
+		return r.failureResponse(&attemptFailure{err: context.Cause(ctx), notRun: !r.mayHaveRun, code: code})
 	}
 	codes := map[scheduler.Reason]result.Code{
 		scheduler.NoServer:          result.NoServer,
@@ -433,7 +445,7 @@
 		return notRunResponse(r.host.stoppingRetryAfter()), f.code
 	case !r.mayHaveRun && f.notRun:
 		return notRunResponse(max(f.retryAfter, scheduler.MinRetryAfter)), f.code
-	case f.code == result.DeadlineAfterDispatch:
+	case f.code == result.DeadlineAfterDispatch, f.code == result.StoppedAfterDispatch:
 		return emptyResponse(http.StatusGatewayTimeout), f.code
 	default:
 		return emptyResponse(http.StatusBadGateway), f.code
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"net"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/callers"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
@@ -14,9 +14,13 @@
 // any more: the longest use of a cached lookup, plus a margin.
 const lookupDrainTime = 3*lookupTTL + 300*time.Millisecond
 
+// errHostStopped ends the requests that have no response when the grace period of a
+// shutdown ends.
+var errHostStopped = errors.New("the host was stopped")
+
 // stop drains the callers. Requests that might not complete in the grace period are
-// refused from the stop signal on.
-func (h *Host) stop(entry net.Listener) {
+// refused from the stop signal on, and every accepted request gets a response.
+func (h *Host) stop(lookups *callers.Server) {
 	plan := drain.PlanShutdown(time.Now(), h.bounds().Grace, lookupDrainTime)
 	h.Log.Emit(events.DaemonStopping, events.Host(model.HostID(h.Settings.ID)))
 	h.stopping.Store(true)
@@ -24,11 +28,15 @@
 	h.announce()
 	h.refuseLongRequests(plan.RespondBy)
 	time.Sleep(time.Until(plan.AcceptUntil))
-	_ = entry.Close()
+	lookups.CloseIdle()
 	h.entry.CloseIdle()
 	if !h.entry.Wait(time.Until(plan.RespondBy)) {
 		h.logUnfinished(plan.Began)
+		h.inFlight.cancelAll(errHostStopped)
+		h.entry.RefuseUnread()
+		h.entry.Wait(time.Until(plan.ExitBy))
 	}
+	lookups.Wait(time.Until(plan.ExitBy))
 }
 
 // refuseLongRequests refuses the requests that might not complete before the given
@@ -51,8 +59,8 @@
 	return 0
 }
 
-// logUnfinished logs the requests that the stop, which began at the given time,
-// leaves without a response.
+// logUnfinished logs the requests that have no response at the end of the stop, which
+// began at the given time.
 func (h *Host) logUnfinished(began time.Time) {
 	left := h.inFlight.all()
 	for _, f := range left {
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -65,6 +65,7 @@
 	OwnerUnreachable      Code = 306
 	AnswerNotKept         Code = 307
 	ServerFailed          Code = 308
+	StoppedAfterDispatch  Code = 309
 
 	UnknownMessage Code = 400
 	FrameTooLarge  Code = 401
--- a/pkg/result/table.go
+++ b/pkg/result/table.go
@@ -54,6 +54,7 @@
 	{OwnerUnreachable, "owner-unreachable", http.StatusBadGateway, true, "The owner did not reply and no stored response was found.", "Resend with the same ID."},
 	{ServerFailed, "server-failed", http.StatusBadGateway, false, "The backend server responded with an error of its own.", "Resend if the request may run again."},
 	{AnswerNotKept, "answer-not-kept", http.StatusBadGateway, true, "The request ran, but its response was too large to store for a resend.", "Check what the service recorded."},
+	{StoppedAfterDispatch, "stopped-after-dispatch", http.StatusGatewayTimeout, true, "The host was stopped before the backend server responded.", "Resend with the same ID, or check what the service recorded."},
 
 	{UnknownMessage, "unknown-message", http.StatusBadGateway, true, "A peer sent a message that this process does not recognize.", "Check the versions."},
 	{FrameTooLarge, "frame-too-large", http.StatusBadGateway, true, "A peer sent a frame that exceeds the size limit.", "Check the limits."},
