Entry: end a forwarded request after its reply is sent

In a planned stop, the owner of a purchase got no reply from a dispatcher that had run it, and the caller got outcome unknown.

Cause: serveForward counted the request as ended before Handle sent the reply. If it was the last accepted request, the lifecycle ended, Run closed the sessions of other hosts, and a reply that was still being written was cut. A reply longer than the window of a stream needs several round trips.

The request now ends after the reply is sent; Send is bounded by its write timeout, so a peer that does not read cannot delay the stop without bound.

--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -165,8 +165,8 @@
 	var reply *wirepb.Envelope
 	switch body := env.Body.(type) {
 	case *wirepb.Envelope_ForwardRequest:
-		response := d.serveForward(ctx, sender, body.ForwardRequest, stream)
-		reply = &wirepb.Envelope{Body: &wirepb.Envelope_ForwardReply{ForwardReply: responseToWire(response)}}
+		d.serveForward(ctx, sender, body.ForwardRequest, stream)
+		return
 	case *wirepb.Envelope_GrantRequest:
 		reply = d.dispatcher.handleGrantRequest(sender, body.GrantRequest)
 	case *wirepb.Envelope_GrantReturn:
@@ -182,11 +182,13 @@
 }
 
 // serveForward handles a request that another entry host forwarded, unless this
-// host is shutting down.
-func (d *Daemon) serveForward(ctx context.Context, sender model.HostID, forward *wirepb.ForwardRequest, stream *wire.Stream) Response {
+// host is shutting down. The request ends after its reply is sent, because the
+// shutdown closes the sessions of other hosts.
+func (d *Daemon) serveForward(ctx context.Context, sender model.HostID, forward *wirepb.ForwardRequest, stream *wire.Stream) {
 	req, stage := requestFromWire(forward, time.Now()), forward.Stage
 	if !d.lifecycle.begin() {
-		return stoppingResponse(req, stage)
+		sendReply(stream, stoppingResponse(req, stage))
+		return
 	}
 	defer d.lifecycle.end()
 	response := d.handleForward(ctx, sender, req, stage, stream)
@@ -195,7 +197,11 @@
 		// does not allow it before the deadline.
 		d.links.wait(ctx, req.FromRegion, len(response.Body), req.Deadline)
 	}
-	return response
+	sendReply(stream, response)
+}
+
+func sendReply(stream *wire.Stream, response Response) {
+	_ = stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_ForwardReply{ForwardReply: responseToWire(response)}})
 }
 
 // stoppingResponse returns the response to a request that arrives after this host
