Entry: accept a request when its header has arrived

A caller that sent its body slowly in a planned stop got no answer: its connection was closed in the middle of the body, and the daemon exited with "close callers' connections: context deadline exceeded".

Cause: the lifecycle counted a request only after its body was read, which may take body-timeout (30 s by default). If no other request ran, the lifecycle ended at once, and Shutdown gives up after 5 s. A body that was complete before that got outcome unknown (306), although the request had come while the host accepted requests.

A request is now counted when its header has been read. One that comes later is refused at once; its body is discarded after the refusal, because closing with unread bytes may reset the connection before the refusal is read. The refusal has its length, so that it is complete before the body is.

Before, TestStopAwaitsBodyThatBeganToArrive: "the stop ended before the body arrived", class "unknown", result 306. TestRefusalAwaitsNoBody: no response while the body is missing.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -39,29 +39,47 @@
 	return mux
 }
 
+// serveCaller serves a request. It is accepted when its header has arrived: a
+// shutdown then awaits its body, which may arrive slowly, too.
 func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
-	req, refused := d.parseRequest(w, r, time.Now())
+	req, refused := d.parseHeader(r, time.Now())
 	if refused != nil {
 		writeResponse(w, refusal(req, refused.Code, refused.Detail))
 		return
 	}
 	if !d.lifecycle.begin() {
-		w.Header().Set("Connection", "close")
-		writeResponse(w, stoppingResponse(req, wirepb.Stage_STAGE_OWNER))
+		d.refuseStopping(w, r, req)
 		return
 	}
 	defer d.lifecycle.end()
+	refused = d.readBody(w, r, &req)
 	if d.lifecycle.state() == model.HostStopping {
 		// The shutdown closes idle connections, and a caller could reuse one
 		// while it is closed.
 		w.Header().Set("Connection", "close")
 	}
+	if refused != nil {
+		writeResponse(w, refusal(req, refused.Code, refused.Detail))
+		return
+	}
 	arrived := time.Now()
 	response := d.handleAsOwner(r.Context(), req)
 	d.countOutcome(req, response, time.Since(arrived))
 	writeResponse(w, response)
 }
 
+// refuseStopping refuses a request without waiting for its body, which the shutdown
+// does not await. It then discards the body: closing with unread bytes resets the
+// connection, possibly before the response is read.
+func (d *Daemon) refuseStopping(w http.ResponseWriter, r *http.Request, req Request) {
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	writeResponse(w, stoppingResponse(req, wirepb.Stage_STAGE_OWNER))
+	_ = control.Flush()
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, d.settings.Limits.MaxBodyBytes))
+}
+
 // countOutcome counts and logs the outcome of a request of a caller.
 func (d *Daemon) countOutcome(req Request, response Response, took time.Duration) {
 	switch response.Code {
@@ -86,7 +104,7 @@
 	}
 }
 
-func (d *Daemon) parseRequest(w http.ResponseWriter, r *http.Request, now time.Time) (Request, *result.Error) {
+func (d *Daemon) parseHeader(r *http.Request, now time.Time) (Request, *result.Error) {
 	req := Request{
 		ID:          r.Header.Get(HeaderRequestID),
 		Service:     model.Service(r.PathValue("service")),
@@ -111,15 +129,20 @@
 	if req.HomeRegion == "" {
 		req.HomeRegion = d.settings.Host.Region
 	}
+	return req, nil
+}
+
+func (d *Daemon) readBody(w http.ResponseWriter, r *http.Request, req *Request) *result.Error {
+	var err error
 	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, d.settings.Limits.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return req, result.Errorf(result.BodyTooLarge, "limit is %d bytes", tooLarge.Limit)
+		return result.Errorf(result.BodyTooLarge, "limit is %d bytes", tooLarge.Limit)
 	}
 	if err != nil {
-		return req, result.Errorf(result.BadRequest, "read body: %v", err)
+		return result.Errorf(result.BadRequest, "read body: %v", err)
 	}
-	return req, nil
+	return nil
 }
 
 func writeResponse(w http.ResponseWriter, resp Response) {
@@ -129,7 +152,12 @@
 	h.Set(HeaderClass, resp.Code.Class().String())
 	h.Set(HeaderPath, strings.Join(resp.Hops, " "))
 	if resp.Code.Class() != result.ClassServed {
-		http.Error(w, fmt.Sprintf("%s: %s", resp.Code, resp.Detail), resp.Code.HTTPStatus())
+		text := fmt.Sprintf("%s: %s\n", resp.Code, resp.Detail)
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+		h.Set("X-Content-Type-Options", "nosniff")
+		h.Set("Content-Length", strconv.Itoa(len(text)))
+		w.WriteHeader(resp.Code.HTTPStatus())
+		_, _ = io.WriteString(w, text)
 		return
 	}
 	h.Set(HeaderBackendStatus, strconv.Itoa(resp.BackendStatus))
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -1,6 +1,11 @@
 package entry
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -30,8 +35,7 @@
 	}()
 }
 
-// Guards against a stop that closes the session to another host before the reply
-// to an accepted request is sent.
+// Guards against a stop that cuts the reply to another host.
 func TestStopSendsReplyToOtherHost(t *testing.T) {
 	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1})
 	h := f.hosts[0]
@@ -71,3 +75,76 @@
 	}
 	<-h.lifecycle.exited
 }
+
+// sendHeader sends the header of a request with a body of bodyBytes.
+func sendHeader(t *testing.T, h *testHost, id string, idempotent bool, bodyBytes int) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", h.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	_, err = fmt.Fprintf(conn, "POST /v1/requests/desk/run HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\nExpect: 100-continue\r\n"+
+		"%s: %s\r\n%s: check\r\n%s: 20000\r\n%s: %t\r\n\r\n", bodyBytes, HeaderRequestID, id, HeaderRank, HeaderDeadline, HeaderIdempotent, idempotent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// Guards against a stop that cuts a request whose body is still arriving.
+func TestStopAwaitsBodyThatBeganToArrive(t *testing.T) {
+	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1})
+	h := f.hosts[0]
+	h.readyWithoutCache()
+	conn := sendHeader(t, h, h.id("late-body"), false, 2048)
+	reader := bufio.NewReader(conn)
+	if resp, err := http.ReadResponse(reader, nil); err != nil || resp.StatusCode != http.StatusContinue {
+		t.Fatalf("response %v, error %v", resp, err)
+	}
+	h.lifecycle.stop()
+	h.lifecycle.tick()
+	select {
+	case <-h.lifecycle.exited:
+		t.Error("the stop ended before the body arrived")
+	case <-time.After(50 * time.Millisecond):
+	}
+	_, _ = conn.Write(make([]byte, 1024))
+	_, _ = conn.Write(make([]byte, 1024))
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	if got := resp.Header.Get(HeaderClass); got != result.ClassServed.String() {
+		t.Errorf("class %q, result %s", got, resp.Header.Get(HeaderResult))
+	}
+	<-h.lifecycle.exited
+}
+
+// Guards against a refusal that waits for a body, which the stop does not await.
+func TestRefusalAwaitsNoBody(t *testing.T) {
+	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1})
+	h := f.hosts[0]
+	h.readyWithoutCache()
+	if !h.lifecycle.begin() {
+		t.Fatal("a ready host refused")
+	}
+	h.lifecycle.stop()
+	h.lifecycle.tick()
+	const bodyBytes = 1 << 20 // more than net/http reads of a body that a handler leaves unread
+	conn := sendHeader(t, h, "refused", true, bodyBytes)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		t.Errorf("read response: %v", err)
+	}
+	if got := resp.Header.Get(HeaderResult); got != fmt.Sprint(uint32(result.Stopping)) || !resp.Close {
+		t.Errorf("result %s, close %v", got, resp.Close)
+	}
+	if _, err := conn.Write(make([]byte, bodyBytes)); err != nil {
+		t.Errorf("the connection was reset while the body was sent: %v", err)
+	}
+}
