Wire: keep serving after a temporary failure to accept

A process that was out of file descriptors for a moment ended all its accepted requests without an answer.

Cause: Serve returned the error of Accept, which ended the errgroup of the daemon.

TestServerSurvivesTemporaryAcceptError lets the first Accept fail with EMFILE. Before: "the server ended: accept tcp: accept4: too many open files". Serve now pauses for 20 ms and accepts again, unless the listener is closed.

--- a/internal/wire/robust_test.go
+++ b/internal/wire/robust_test.go
@@ -7,9 +7,11 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -412,3 +414,37 @@
 		}
 	})
 }
+
+// failingListener fails the first Accept as a process without free descriptors does.
+type failingListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a temporary failure to accept that ends the daemon without a drain.
+func TestServerSurvivesTemporaryAcceptError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	server := NewServer(Identity{Environment: "trial", Host: "server"}, echoHandler{}, DefaultMaxFrameBytes, nil)
+	go func() { done <- server.Serve(ctx, &failingListener{Listener: listener}) }()
+	client := NewClient(Identity{Environment: "trial"}, DefaultMaxFrameBytes)
+	defer client.Close()
+	if _, err := client.Call(t.Context(), listener.Addr().String(), recall("x")); err != nil {
+		t.Errorf("call after the failure: %v", err)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Errorf("the server ended: %v", err)
+	}
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -65,6 +65,9 @@
 // occupies a stream while its request waits.
 const defaultMaxStreams = 2048
 
+// acceptPause lets file descriptors be closed if the process is out of them.
+const acceptPause = 20 * time.Millisecond
+
 // firstFrameTimeout bounds the wait for the request frame of an open stream.
 const firstFrameTimeout = 5 * time.Second
 
@@ -91,6 +94,11 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		var temporary net.Error
+		if errors.As(err, &temporary) && !errors.Is(err, net.ErrClosed) {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return err
 		}
