Entry: end only the call in which a panic occurs

A panic in the handling of one call of another host ended the daemon with all of its accepted requests unanswered. net/http recovers a panic of a caller's request; the server of calls between hosts does not.

Handle now recovers and logs it as event 1008, as internal/host does. The stream closes without a reply, which the owner takes as outcome unknown, and the lifecycle counts the request as ended. The agent's Handle is left as it is: some of its locks are not released by deferred calls.

Before, TestPanicEndsOnlyItsForwardedRequest ended the test binary: "panic: injected [recovered, repanicked]".

--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -161,6 +161,7 @@
 
 // Handle implements wire.Handler.
 func (d *Daemon) Handle(ctx context.Context, peer *wirepb.Hello, env *wirepb.Envelope, stream *wire.Stream) {
+	defer d.log.RecoverPanic("call of a host")
 	sender := model.HostID(peer.Host)
 	var reply *wirepb.Envelope
 	switch body := env.Body.(type) {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -148,3 +148,31 @@
 		t.Errorf("the connection was reset while the body was sent: %v", err)
 	}
 }
+
+// Guards against a panic in one forwarded request that ends the daemon without a drain.
+func TestPanicEndsOnlyItsForwardedRequest(t *testing.T) {
+	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1})
+	h := f.hosts[0]
+	h.readyWithoutCache()
+	h.setOnStep(func(at requestStep, req Request) {
+		if at == stepDispatched && req.ID == "panics" {
+			panic("injected")
+		}
+	})
+	client := wire.NewClient(wire.Identity{Environment: "test", Host: "owner"}, wire.DefaultMaxFrameBytes)
+	defer client.Close()
+	for _, id := range []string{"panics", "follows"} {
+		req := Request{
+			ID: id, Service: "desk", Path: "run", Rank: "check", HomeRegion: "r", FromRegion: "r",
+			Deadline: time.Now().Add(20 * time.Second),
+		}
+		reply, err := client.Call(t.Context(), h.peers, &wirepb.Envelope{Body: &wirepb.Envelope_ForwardRequest{
+			ForwardRequest: requestToWire(req, wirepb.Stage_STAGE_DISPATCH, time.Now()),
+		}})
+		if failed := err != nil; failed != (id == "panics") {
+			t.Errorf("%s: reply %v, error %v", id, reply, err)
+		}
+	}
+	h.beginStop()
+	<-h.lifecycle.exited
+}
