Agent: await the whole shutdown of the entry daemon

In a planned stop of a host whose entry daemon drained for more than a minute, the host was announced as left while it still accepted requests and ran accepted ones. Other hosts no longer forwarded arrivals to it as owner (outcome unknown), and its entry daemon forwarded with an outdated view.

Cause: leaveTimeout ended the wait 1 min after the signal. The entry daemon accepts requests for cache-time (up to 10 min) plus 4 s and then completes them (deadlines up to 10 min).

The wait now ends when the entry daemon reports that it has left, or when its reports end, which covers a daemon that was killed. leaveTimeout bounds only the messages that announce the departure.

TestAgentAwaitsLongStopOfEntry, on a fake clock. Before: "the agent left after 1m0s, its entry daemon after 12m0s".

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -242,15 +242,13 @@
 	})
 }
 
-// leaveTimeout bounds the graceful shutdown of the entry daemon and the messages
-// that announce the departure.
-const leaveTimeout = time.Minute
+// leaveTimeout bounds the messages that announce the departure.
+const leaveTimeout = 10 * time.Second
 
 // shutdown waits until the entry daemon has stopped, then announces to other
-// agents that this host has left.
+// agents that this host has left. The wait has no bound of its own: the entry
+// daemon bounds its shutdown, and the wait ends when its reports do.
 func (a *Agent) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
@@ -260,6 +258,8 @@
 	a.mu.Lock()
 	actions := a.members.Leave(time.Now())
 	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
 	var sends sync.WaitGroup
 	for _, action := range actions {
 		sends.Go(func() { a.performMember(ctx, action) })
