Agent: complete operators' commands before the end

An operator whose command was running when an agent stopped got EOF. A command that writes may have taken effect.

Cause: the API's server was closed, which closes all its connections and cancels the contexts of its requests, the call to the store among them.

It is now shut down: commands in progress complete within 10 s, after which the rest is closed as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -161,11 +161,15 @@
 		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, a).Serve(serving, countingListener{peers, a})
 	})
 	group.Go(func() error {
-		stop := context.AfterFunc(serving, func() { _ = api.Close() })
-		defer stop()
+		closed := make(chan struct{})
+		context.AfterFunc(serving, func() {
+			defer close(closed)
+			closeAPI(api)
+		})
 		if err := api.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
+		<-closed
 		return nil
 	})
 	group.Go(func() error { return a.tickLoop(serving) })
@@ -186,6 +190,19 @@
 	return group.Wait()
 }
 
+// apiTimeout bounds the commands of operators that are completed at the end. It
+// covers the calls to the store of one command.
+const apiTimeout = 10 * time.Second
+
+// closeAPI completes the commands in progress: one that is cut may have taken effect.
+func closeAPI(api *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), apiTimeout)
+	defer cancel()
+	if err := api.Shutdown(ctx); err != nil {
+		_ = api.Close()
+	}
+}
+
 func (a *Agent) tickLoop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
