Daemon: drain on SIGHUP

SIGHUP killed the daemons at once, also in the middle of a planned stop, with all accepted requests unanswered.

Cause: only SIGTERM and SIGINT had a handler. A repeated SIGTERM or SIGINT was ignored already.

SIGHUP now stops a daemon as SIGTERM does, and changes nothing during a stop.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,10 +47,10 @@
 	Build       func(Base) Runner
 }
 
-// Run runs the program until SIGTERM or SIGINT, then exits the process with the
-// exit code.
+// Run runs the program until SIGTERM, SIGINT or SIGHUP, then exits the process with
+// the exit code. Without a handler, SIGHUP would end the process with no drain.
 func Run(p Program) {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	code := p.Execute(ctx, os.Args, os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
