Lookup: complete a query that has begun on a kept connection

In a planned stop a caller got "unexpected EOF" for a lookup that it was sending on a kept connection.

Cause: SetKeepAlivesEnabled(false) closes every connection that net/http has as idle, and net/http has a kept connection as idle until the whole header of its next request has been read. The same holds for Server.Shutdown. A connection that had sent no request yet was not affected, and only that was tested.

The listener now knows on which connections a request has begun to arrive.

TestShutdownCompletesQueryOnKeptConnection, on a fake clock. Before: "unexpected EOF".

--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -293,6 +293,38 @@
 	})
 }
 
+// Guards against a stop that cuts a query which has begun to arrive on a kept connection.
+func TestShutdownCompletesQueryOnKeptConnection(t *testing.T) {
+	withServer(t, 10, func(l *pipeListener, stop func() error) {
+		conn, idle := l.dial(), l.dial()
+		for _, c := range []net.Conn{conn, idle} {
+			if status := roundTrip(t, c); status != http.StatusOK {
+				t.Fatalf("status %d", status)
+			}
+		}
+		_, _ = io.WriteString(conn, queryText[:20])
+		synctest.Wait()
+		stopped, began := make(chan error, 1), time.Now()
+		go func() { stopped <- stop() }()
+		if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("read on the idle connection: %v, want EOF", err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("the idle connection was closed after %v", took)
+		}
+		time.Sleep(time.Second)
+		go func() { _, _ = io.WriteString(conn, queryText[20:]) }()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+			t.Errorf("response %v, error %v", resp, err)
+		}
+		_ = conn.Close()
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // FuzzParseQuery guards against a query on which parseQuery panics, and against
 // one that it decodes differently from the standard library.
 func FuzzParseQuery(f *testing.F) {
--- a/internal/lookup/serve.go
+++ b/internal/lookup/serve.go
@@ -28,12 +28,13 @@
 // header is only partly read, which loses the caller's query.
 func serve(ctx context.Context, listener *listen.Limited, current func() *steering.Table) error {
 	server := &http.Server{
-		Handler:           NewHandler(current),
+		Handler:           closeAfter(ctx, NewHandler(current)),
 		ReadHeaderTimeout: readTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         listener.ConnState,
 	}
 	defer server.Close()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -42,8 +43,16 @@
 	if ctx.Err() == nil {
 		return fmt.Errorf("serve lookups: %w", err)
 	}
-	// Closes idle connections; the others close after their response.
-	server.SetKeepAlivesEnabled(false)
-	listener.Wait(shutdownTimeout)
+	listener.Drain(shutdownTimeout)
 	return nil
 }
+
+// closeAfter ends each connection with its next response once ctx has ended.
+func closeAfter(ctx context.Context, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ctx.Err() != nil {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
