Entry: answer a request that begins to arrive before the end

A caller that was sending the header of a request on a kept connection when the entry daemon ended got "unexpected EOF".

Server.Shutdown closes a kept connection until the whole header of its next request has been read.

TestStopAnswersHeaderThatBeganToArrive. Before, with Shutdown in drain: "unexpected EOF".

--- a/internal/entry/setup.go
+++ b/internal/entry/setup.go
@@ -7,14 +7,12 @@
 	"io"
 	"log"
 	"net"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/daemon"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
-	"github.com/wisteriacrank/wisteriacrank/internal/listen"
 	"github.com/wisteriacrank/wisteriacrank/internal/localstate"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/settings"
@@ -131,20 +129,14 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	server := d.callerServer()
+	server := d.newCallerServer(callers)
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	group.Go(func() error {
 		return wire.NewServer(d.identity, d, d.settings.Limits.MaxFrameBytes, d).Serve(serveCtx, peers)
 	})
-	group.Go(func() error {
-		limited := listen.Limit(callers, d.settings.Limits.MaxConnections, d.connectionDropped)
-		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve callers: %w", err)
-		}
-		return nil
-	})
+	group.Go(server.serve)
 	group.Go(func() error { return metrics.Serve(serveCtx, d.settings.Listen.EntryMetrics, d.metrics) })
 	group.Go(func() error { d.watcher.Run(serveCtx); return nil })
 	group.Go(func() error { d.watcher.Report(serveCtx, d.report); return nil })
@@ -160,17 +152,6 @@
 	return group.Wait()
 }
 
-func (d *Daemon) callerServer() *http.Server {
-	limits := d.settings.Limits
-	return &http.Server{
-		Handler:           d.callerHandler(),
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		ReadTimeout:       limits.BodyTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-	}
-}
-
 // InvalidInput implements wire.Counters.
 func (d *Daemon) InvalidInput(code result.Code) {
 	d.metrics.Add(fmt.Sprintf("invalid_input_%d", code), 1)
@@ -188,10 +169,11 @@
 }
 
 // awaitShutdown performs the graceful shutdown when ctx ends.
-func (d *Daemon) awaitShutdown(ctx, serveCtx context.Context, server *http.Server) error {
+func (d *Daemon) awaitShutdown(ctx, serveCtx context.Context, server *callerServer) error {
 	select {
 	case <-serveCtx.Done():
-		return server.Close()
+		server.close()
+		return nil
 	case <-ctx.Done():
 	}
 	d.log.Emit(events.DaemonStopping, events.Host(d.settings.Host.ID))
@@ -200,10 +182,9 @@
 	case <-serveCtx.Done():
 	case <-d.lifecycle.exited:
 	}
-	closeCtx, cancel := context.WithTimeout(serveCtx, closeTimeout)
-	defer cancel()
-	if err := server.Shutdown(closeCtx); err != nil {
-		return fmt.Errorf("close callers' connections: %w", err)
+	defer server.close()
+	if !server.drain(closeTimeout) {
+		return errors.New("callers' connections are still open")
 	}
 	return nil
 }
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/wire"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
@@ -149,6 +152,78 @@
 	}
 }
 
+// pipeListener accepts in-memory connections, whose writes return when the server has
+// read them.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against a stop that cuts a request whose header is still arriving on a kept connection.
+func TestStopAnswersHeaderThatBeganToArrive(t *testing.T) {
+	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1})
+	h := f.hosts[0]
+	h.settings.Limits.MaxConnections = 2
+	h.readyWithoutCache()
+	conn, serverSide := net.Pipe()
+	defer conn.Close()
+	listener := &pipeListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+	listener.conns <- serverSide
+	server := h.newCallerServer(listener)
+	ended := make(chan error, 1)
+	go func() { ended <- server.serve() }()
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	reader := bufio.NewReader(conn)
+	const line = "POST /v1/requests/desk/run HTTP/1.1\r\n"
+	header := fmt.Sprintf("Host: x\r\nContent-Length: 0\r\n%s: late\r\n%s: check\r\n%s: 20000\r\n%s: true\r\n\r\n",
+		HeaderRequestID, HeaderRank, HeaderDeadline, HeaderIdempotent)
+	go func() { _, _ = io.WriteString(conn, line+header) }()
+	first, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, first.Body)
+	_, _ = io.WriteString(conn, line)
+	ctx, stop := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.awaitShutdown(ctx, t.Context(), server) }()
+	stop()
+	for h.lifecycle.state() != model.HostLeft {
+		time.Sleep(time.Millisecond)
+		h.lifecycle.tick()
+	}
+	<-ended
+	go func() { _, _ = io.WriteString(conn, header) }()
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	if got := resp.Header.Get(HeaderResult); got != fmt.Sprint(uint32(result.Stopping)) {
+		t.Errorf("result %s", got)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a panic in one forwarded request that ends the daemon without a drain.
 func TestPanicEndsOnlyItsForwardedRequest(t *testing.T) {
 	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1})
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -77,11 +77,11 @@
 	}
 }
 
-// Drain waits until all connections are closed, at most for limit. It closes those
-// that are idle. http.Server would also close one on which a request has begun to
-// arrive. The server must end the others after their responses. Drain must not be
-// called while Accept runs.
-func (l *Limited) Drain(limit time.Duration) {
+// Drain waits until all connections are closed, at most for limit, and reports
+// whether they are. It closes those that are idle. http.Server would also close one
+// on which a request has begun to arrive. The server must end the others after their
+// responses. Drain must not be called while Accept runs.
+func (l *Limited) Drain(limit time.Duration) bool {
 	closed := make(chan struct{})
 	go func() {
 		l.open.Wait()
@@ -91,9 +91,9 @@
 	for pause := lastRequestWait; ; pause = sweepInterval {
 		select {
 		case <-closed:
-			return
+			return true
 		case <-expired:
-			return
+			return false
 		case <-time.After(pause):
 			l.closeIdle()
 		}
