Entry: refuse a preempted request if the servers were handed over

A preempted request of a host that handed over its servers, at the start of a planned stop or later, waited until its deadline and ended with outcome unknown, although other dispatchers had slots.

Cause: a view without servers of a service refuses the queued requests. A run that was being cancelled for a preemption was queued again after that, in a queue that no server would serve.

It is now refused at once; the owner, which knows that it may have run, retries it elsewhere.

Before, TestPreemptedRequestLeavesHostWithoutServers: "the request waits in the queue of a host without servers", after 10 s of a deadline of 20 s.

--- a/internal/entry/run_test.go
+++ b/internal/entry/run_test.go
@@ -59,3 +59,40 @@
 		t.Errorf("%d requests are still counted as waiting", n)
 	}
 }
+
+// Guards against a preempted request that waits until its deadline on a host that has
+// handed over its servers.
+func TestPreemptedRequestLeavesHostWithoutServers(t *testing.T) {
+	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1, ServiceTime: time.Minute})
+	h := f.hosts[0]
+	s := h.dispatcher.scheduler("desk")
+	req := Request{
+		ID: "preempted", Service: "desk", Path: "run", Rank: "check", HomeRegion: "r", FromRegion: "r",
+		Idempotent: true, Deadline: time.Now().Add(20 * time.Second),
+	}
+	done := make(chan Response, 1)
+	go func() { done <- h.dispatcher.dispatch(t.Context(), req, "owner") }()
+	for f.runs(req.ID) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.mu.Lock()
+	for _, r := range s.running {
+		s.preempting++
+		r.preempted = true
+		r.cancel()
+		r.cancel = nil
+	}
+	for name := range s.specs {
+		s.removeServer(time.Now(), name)
+	}
+	s.refuseAll(result.NotDispatcher)
+	s.mu.Unlock()
+	select {
+	case got := <-done:
+		if got.Code.Class() != result.ClassUnknown {
+			t.Errorf("%+v, want an unknown outcome", got)
+		}
+	case <-time.After(time.Until(req.Deadline) - 10*time.Second):
+		t.Error("the request waits in the queue of a host without servers")
+	}
+}
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -297,6 +297,10 @@
 			requeued = newPending(r.item, r.moved)
 			s.waiting[r.item.ID] = requeued
 		}
+		if len(s.specs) == 0 {
+			// The servers were handed over while the run was cancelled.
+			s.refuseAll(result.NotDispatcher)
+		}
 	} else {
 		s.queue.Done(now, r.item.Rank, slotTime)
 	}
