Entry: answer the caller of a request in which a panic occurs

A panic in the handling of a caller's request closed its connection without an answer, and left no trace: net/http writes it to the standard logger, which the daemon discards.

The caller now gets outcome unknown (306), which the owner's records already had for such a request, and event 1008 is logged.

Before, TestPanicAnswersCaller: EOF for both kinds of requests.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -63,11 +64,18 @@
 		return
 	}
 	arrived := time.Now()
-	response := d.handleAsOwner(r.Context(), req)
+	response := d.handleOrFail(r.Context(), req)
 	d.countOutcome(req, response, time.Since(arrived))
 	writeResponse(w, response)
 }
 
+// handleOrFail handles a request of a caller. After a panic it may have run.
+func (d *Daemon) handleOrFail(ctx context.Context, req Request) (response Response) {
+	response = refusal(req, result.OwnerUnreachable, "the owner failed while it processed the request")
+	defer d.log.RecoverPanic("request")
+	return d.handleAsOwner(ctx, req)
+}
+
 // refuseStopping refuses a request without waiting for its body, which the shutdown
 // does not await. It then discards the body: closing with unread bytes resets the
 // connection, possibly before the response is read.
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -224,6 +224,23 @@
 	}
 }
 
+// Guards against a panic that leaves a caller's request without an answer.
+func TestPanicAnswersCaller(t *testing.T) {
+	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1})
+	h := f.hosts[0]
+	h.setOnStep(func(at requestStep, _ Request) {
+		if at == stepDispatched {
+			panic("injected")
+		}
+	})
+	for _, idempotent := range []bool{false, true} {
+		got, err := f.send(h, h.id(fmt.Sprint(idempotent)), idempotent, "b")
+		if err != nil || got.Class != result.ClassUnknown.String() {
+			t.Errorf("idempotent %t: %+v, %v, want an unknown outcome", idempotent, got, err)
+		}
+	}
+}
+
 // Guards against a panic in one forwarded request that ends the daemon without a drain.
 func TestPanicEndsOnlyItsForwardedRequest(t *testing.T) {
 	f := newFleet(t, 1, 1, standin.BackendConfig{Slots: 1})
