Backend: bound the head of a response to 64 KB

A faulty backend server could make an entry host keep up to 10 MB of the head of one response, the default of the HTTP library, for each connection. A head of 1 MB was accepted.

The head is now bounded as well as the body was (8 MB). A longer one ends the connection with outcome unknown (300), as the request may have run.

Before, TestLongHeadIsRefused: "a head of 1011060 bytes: 100 served".

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -40,6 +40,8 @@
 	// maxResponseBytes bounds the body of a response. It is below the frame limit
 	// between hosts, which must also hold the envelope.
 	maxResponseBytes = 8 << 20
+	// maxHeadBytes bounds the head of a response. The HTTP library allows 10 MB.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is one request for a backend server.
@@ -99,8 +101,9 @@
 	return &Server{
 		spec: spec,
 		transport: &http.Transport{
-			DialContext:        dialedConn,
-			DisableCompression: true,
+			DialContext:            dialedConn,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
--- /dev/null
+++ b/internal/backend/head_test.go
@@ -0,0 +1,52 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/document"
+	"github.com/wisteriacrank/wisteriacrank/pkg/result"
+)
+
+// respondRaw returns a server that gets the bytes of response for each request, after
+// which the connection closes.
+func respondRaw(t *testing.T, response string) *Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(conn, response)
+			}
+			_ = conn.Close()
+		}
+	}()
+	server := NewServer(document.Server{Name: "s", Address: listener.Addr().String(), Slots: 1, Connections: 1})
+	t.Cleanup(func() { server.Close(); _ = listener.Close() })
+	return server
+}
+
+// Guards against a head without end that is kept in memory.
+func TestLongHeadIsRefused(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": x\r\nContent-Length: 0\r\n"
+	padding := strings.Repeat(fmt.Sprintf("Padding: %s\r\n", strings.Repeat("a", 1000)), 1000)
+	if got := respondRaw(t, head+"\r\n").Do(t.Context(), request("x", true), long); got.Code != result.Served {
+		t.Fatalf("a short head: %+v", got)
+	}
+	if got := respondRaw(t, head+padding+"\r\n").Do(t.Context(), request("x", true), long); got.Code.Class() != result.ClassUnknown {
+		t.Errorf("a head of %d bytes: %v, want an unknown outcome", len(head+padding), got.Code)
+	}
+}
