--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -161,11 +161,15 @@
 		return wire.NewServer(a.identity, a, a.settings.Limits.MaxFrameBytes, a).Serve(serving, countingListener{peers, a})
 	})
 	group.Go(func() error {
-		stop := context.AfterFunc(serving, func() { _ = api.Close() })
-		defer stop()
+		closed := make(chan struct{})
+		context.AfterFunc(serving, func() {
+			defer close(closed)
+			closeAPI(api)
+		})
 		if err := api.Serve(operators); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
+		<-closed
 		return nil
 	})
 	group.Go(func() error { return a.tickLoop(serving) })
@@ -186,6 +190,19 @@
 	return group.Wait()
 }
 
+// apiTimeout bounds the commands of operators that are completed at the end. It
+// covers the calls to the store of one command.
+const apiTimeout = 10 * time.Second
+
+// closeAPI completes the commands in progress: one that is cut may have taken effect.
+func closeAPI(api *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), apiTimeout)
+	defer cancel()
+	if err := api.Shutdown(ctx); err != nil {
+		_ = api.Close()
+	}
+}
+
 func (a *Agent) tickLoop(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -242,15 +259,13 @@
 	})
 }
 
-// leaveTimeout bounds the graceful shutdown of the entry daemon and the messages
-// that announce the departure.
-const leaveTimeout = time.Minute
+// leaveTimeout bounds the messages that announce the departure.
+const leaveTimeout = 10 * time.Second
 
 // shutdown waits until the entry daemon has stopped, then announces to other
-// agents that this host has left.
+// agents that this host has left. The wait has no bound of its own: the entry
+// daemon bounds its shutdown, and the wait ends when its reports do.
 func (a *Agent) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
@@ -260,6 +275,8 @@
 	a.mu.Lock()
 	actions := a.members.Leave(time.Now())
 	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
 	var sends sync.WaitGroup
 	for _, action := range actions {
 		sends.Go(func() { a.performMember(ctx, action) })
