Contain a panic in the handling of a lookup

Callers would have seen all their requests end at once: a panic while a lookup was handled ended the process, unlike one in a request. Found on reading the stop path; no run has shown such a panic.

TestPanicInOneRequestEndsOnlyThatRequest has a lookup now and ended the test process without the change.

--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -15,7 +15,10 @@
 const maxLookupAddresses = 64
 
 // serveLookup returns to a caller the hosts to use.
-func (h *Host) serveLookup(_ context.Context, req *callers.Request) callers.Response {
+func (h *Host) serveLookup(_ context.Context, req *callers.Request) (resp callers.Response) {
+	// The response after a panic.
+	resp = emptyResponse(http.StatusInternalServerError)
+	defer h.Log.RecoverPanic("lookup")
 	lookup, ok := h.Protocol.DecodeLookup(req.Request)
 	if !ok {
 		return emptyResponse(http.StatusNotFound)
--- a/internal/host/malformed_test.go
+++ b/internal/host/malformed_test.go
@@ -105,6 +105,8 @@
 
 func (panickingProtocol) DecodeCall(*http.Request) (Call, error) { panic("unexpected") }
 
+func (panickingProtocol) DecodeLookup(*http.Request) (Lookup, bool) { panic("unexpected") }
+
 // Guards against a fault in the handling of one request that ends the process or
 // leaves the caller without a response.
 func TestPanicInOneRequestEndsOnlyThatRequest(t *testing.T) {
@@ -116,6 +118,9 @@
 	if resp := h.serveCall(context.Background(), req); resp.Status != http.StatusBadGateway {
 		t.Errorf("status %d, want 502", resp.Status)
 	}
+	if resp := h.serveLookup(context.Background(), req); resp.Status != http.StatusInternalServerError {
+		t.Errorf("status %d for a lookup, want 500", resp.Status)
+	}
 }
 
 // Guards against datagrams that end the process or the loop that receives them.
