Add RefuseUnread, which ends unread requests with 503 at a stop

Seen by callers: a request whose head or body was still arriving when the grace period ended was cut, which does not tell its caller that it has not run. There was no way to end it with a response. Change: RefuseUnread interrupts these reads. The response is 503 with Retry-After and "Connection: close", behind the responses of the requests before. Under the lock of the connection a request is either passed to the handler or refused. Idle connections are closed, bytes in the kernel count as a begun request. The call in the stop of internal/host is not part of this commit.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -69,8 +69,10 @@
 	limited *bounded.Reader
 	reader  *bufio.Reader
 
-	mu       sync.Mutex
-	stopped  bool
+	mu      sync.Mutex
+	stopped bool
+	// refusing is set once requests that are not in flight are to be refused.
+	refusing bool
 	inFlight int
 	// idleSince is when the last response was written, or the connection accepted.
 	idleSince time.Time
@@ -124,17 +126,19 @@
 			return callerClosed
 		}
 		ex := &exchange{ready: make(chan struct{})}
+		if !c.beginRequest() && refusal == nil {
+			c.server.memory.Release(int64(cap(req.Body)))
+			refusal = retryLaterResponse()
+		}
 		if refusal != nil {
 			c.server.refused.Add(1)
 			ex.response, ex.last = *refusal, true
 			close(ex.ready)
-			c.beginRequest()
 			pending <- ex
 			return afterResponse
 		}
 		ex.method = req.Method
 		ex.last = req.Close || c.server.draining.Load()
-		c.beginRequest()
 		go c.run(ctx, req, ex)
 		pending <- ex
 		if ex.last {
@@ -149,11 +153,14 @@
 	ex.response = c.server.handler(ctx, req)
 }
 
-func (c *conn) beginRequest() {
+// beginRequest counts a request as in flight. It reports whether the request may
+// be passed to the handler.
+func (c *conn) beginRequest() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.inFlight++
 	c.begun = c.reader.Buffered() > 0
-	c.mu.Unlock()
+	return !c.refusing
 }
 
 func (c *conn) endRequest() {
@@ -181,6 +188,18 @@
 	return true
 }
 
+// setRequestDeadline sets the deadline of a request that is being read, unless
+// stopReading or refuseUnread was called.
+func (c *conn) setRequestDeadline(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped || c.refusing {
+		return false
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(d))
+	return true
+}
+
 // awaitRequest waits for the first byte of the next request.
 func (c *conn) awaitRequest(limits Limits) (end ending, ended bool) {
 	defer c.endAwaiting()
@@ -227,7 +246,9 @@
 // readRequest reads one request with its body, or returns the error response to
 // send. Both are nil if the caller has closed the connection.
 func (c *conn) readRequest(limits Limits) (*Request, *Response) {
-	c.setReadDeadline(limits.HeaderTimeout)
+	if !c.setRequestDeadline(limits.HeaderTimeout) {
+		return nil, c.timeoutResponse()
+	}
 	parsed, err := http.ReadRequest(c.reader)
 	if err := cmp.Or(c.source.err, err); err != nil {
 		return nil, c.headerErrorResponse(err)
@@ -246,7 +267,9 @@
 		}
 	}
 	c.limited.Left = limits.MaxBodyBytes + int64(limits.MaxHeaderBytes)
-	c.setReadDeadline(limits.BodyTimeout)
+	if !c.setRequestDeadline(limits.BodyTimeout) {
+		return nil, c.timeoutResponse()
+	}
 	body, whole, refusal := c.readBody(parsed, limits)
 	if !whole {
 		return nil, refusal
@@ -260,7 +283,7 @@
 	case c.limited.Left <= 0:
 		return errorResponse(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errorResponse(http.StatusRequestTimeout)
+		return c.timeoutResponse()
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isNetworkError(err):
 		return nil
 	default:
@@ -287,7 +310,7 @@
 	body = make([]byte, size)
 	if _, err := io.ReadFull(parsed.Body, body); err != nil {
 		c.server.memory.Release(size)
-		return nil, false, bodyErrorResponse(err)
+		return nil, false, c.bodyErrorResponse(cmp.Or(c.source.err, err))
 	}
 	return body, true, nil
 }
@@ -302,16 +325,16 @@
 	case errors.Is(err, bounded.ErrExhausted):
 		return nil, false, retryLaterResponse()
 	default:
-		return nil, false, bodyErrorResponse(err)
+		return nil, false, c.bodyErrorResponse(cmp.Or(c.source.err, err))
 	}
 }
 
 // bodyErrorResponse returns the response to a body that could not be read whole,
 // or nil if the caller has closed the connection.
-func bodyErrorResponse(err error) *Response {
+func (c *conn) bodyErrorResponse(err error) *Response {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errorResponse(http.StatusRequestTimeout)
+		return c.timeoutResponse()
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), isNetworkError(err):
 		return nil
 	default:
@@ -323,8 +346,17 @@
 	return &Response{Status: status, Header: http.Header{}, Close: true}
 }
 
-// retryLaterResponse refuses a body that exceeds the remaining memory budget of
-// this host.
+// timeoutResponse returns the response to a request that did not arrive whole in
+// time.
+func (c *conn) timeoutResponse() *Response {
+	if c.isRefusing() {
+		return retryLaterResponse()
+	}
+	return errorResponse(http.StatusRequestTimeout)
+}
+
+// retryLaterResponse refuses a request that did not run because its body exceeds
+// the remaining memory budget of this host, or because the host stops.
 func retryLaterResponse() *Response {
 	resp := errorResponse(http.StatusServiceUnavailable)
 	resp.Header.Set("Retry-After", "0.5")
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -65,7 +65,9 @@
 	conns    map[*conn]struct{}
 	// closing is set once CloseIdle was called.
 	closing bool
-	wg      sync.WaitGroup
+	// refusing is set once RefuseUnread was called.
+	refusing bool
+	wg       sync.WaitGroup
 }
 
 // NewServer returns a server. limits is called for every request. bodyMemory
@@ -110,6 +112,7 @@
 	if s.closing {
 		c.finishReading()
 	}
+	c.refusing = s.refusing
 	s.mu.Unlock()
 	s.wg.Go(func() {
 		c.serve()
--- a/internal/callers/shutdown.go
+++ b/internal/callers/shutdown.go
@@ -37,6 +37,20 @@
 	}
 }
 
+// RefuseUnread calls CloseIdle and refuses the requests that are still being read
+// or arrive later: they get a 503 with Retry-After, and their connections end.
+// Idle connections are closed at once. Requests that were passed to the handler get
+// their responses.
+func (s *Server) RefuseUnread() {
+	s.CloseIdle()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = true
+	for c := range s.conns {
+		c.refuseUnread()
+	}
+}
+
 // interruptAccept ends the wait for new connections once CloseIdle was called. The
 // caller holds mu.
 func (s *Server) interruptAccept() {
@@ -105,6 +119,23 @@
 	c.awaitLast()
 }
 
+// refuseUnread interrupts the reading of a request and the wait for the next one.
+func (c *conn) refuseUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusing = true
+	c.finishBy = time.Now()
+	if !c.stopped {
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (c *conn) isRefusing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusing
+}
+
 // awaitLast starts the wait for a last request if the connection is idle and
 // finishReading was called. The caller holds mu.
 func (c *conn) awaitLast() {
--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -260,3 +260,60 @@
 	send(t, conn, shortRequest)
 	receive(t, replies)
 }
+
+// Guards against a stop that cuts requests which are still arriving, instead of
+// telling their callers that they have not run.
+func TestUnreadRequestsAreRefusedAtTheEndOfAStop(t *testing.T) {
+	const sized = "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n"
+	const chunked = "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const slow = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+	for what, c := range map[string]struct {
+		text     string
+		statuses []int
+	}{
+		"in the head":         {sized[:9], []int{503}},
+		"body, no byte":       {sized, []int{503}},
+		"in the body":         {sized + "12345", []int{503}},
+		"in a chunk":          {chunked + "a\r\n12345", []int{503}},
+		"after a chunk":       {chunked + "5\r\n12345\r\n", []int{503}},
+		"in flight":           {slow, []int{200}},
+		"in flight and begun": {slow + sized + "12345", []int{200, 503}},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			server, address := startStoppableServer(t, func(ctx context.Context, r *Request) Response {
+				if r.URL.Path != "/slow" {
+					t.Error("a request that was not whole was served")
+				}
+				<-release
+				return respondOK(ctx, r)
+			})
+			idle := dialServer(t, address)
+			conn := dialServer(t, address)
+			send(t, conn, c.text)
+			time.Sleep(settleTime)
+			server.CloseIdle()
+			server.RefuseUnread()
+			time.AfterFunc(settleTime, func() { close(release) })
+			replies := bufio.NewReader(conn)
+			for i, want := range c.statuses {
+				resp := receive(t, replies)
+				last := i == len(c.statuses)-1
+				if resp.StatusCode != want || resp.Close != last || (want == 503) != (resp.Header.Get("Retry-After") != "") {
+					t.Errorf("response %d: %d, close %v, %v", i+1, resp.StatusCode, resp.Close, resp.Header)
+				}
+			}
+			_ = conn.Close()
+			if !server.Wait(5 * time.Second) {
+				t.Error("a connection stays open")
+			}
+			if _, err := idle.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+				t.Errorf("idle connection: %v, want its end", err)
+			}
+			if free := server.memory.Free(); free != 1<<20 {
+				t.Errorf("%d bytes of memory are not released", 1<<20-free)
+			}
+		})
+	}
+}
