Send the 100 response after the responses to earlier requests

Seen by callers: a request with "Expect: 100-continue" behind another one on its connection got no 100 response; it ended with 408 at the body timeout unless the caller sent the body unasked. A request sent right after a response can meet this too, because the response counts as in flight until its write has returned. Cause: with a response in flight the 100 response was left out. Evidence, on the commit before: TestContinueFollowsEarlierResponses "status 408, want 100". Change: the goroutine that writes the responses sends it after the last of them.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -78,6 +78,8 @@
 	idleSince time.Time
 	// begun is set while bytes of a request that is not in flight have arrived.
 	begun bool
+	// continueDue is set while a 100 response waits for earlier responses.
+	continueDue bool
 	// ending is set once a response was chosen to be the last.
 	ending bool
 	// finishBy, if set, is when the wait for a last request ends.
@@ -160,15 +162,23 @@
 	defer c.mu.Unlock()
 	c.inFlight++
 	c.begun = c.reader.Buffered() > 0
+	c.continueDue = false
 	return !c.refusing
 }
 
-func (c *conn) endRequest() {
+// endRequest counts a response as written. It reports whether the 100 response of
+// the next request is due.
+func (c *conn) endRequest() (continueDue bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inFlight--
 	c.idleSince = time.Now()
 	c.awaitLast()
+	if c.inFlight > 0 {
+		return false
+	}
+	continueDue, c.continueDue = c.continueDue, false
+	return continueDue
 }
 
 func (c *conn) busy() bool {
@@ -261,10 +271,7 @@
 		return req, nil
 	}
 	if parsed.Header.Get("Expect") == "100-continue" {
-		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if !c.busy() {
-			_, _ = io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n")
-		}
+		c.requestContinue()
 	}
 	c.limited.Left = limits.MaxBodyBytes + int64(limits.MaxHeaderBytes)
 	if !c.setRequestDeadline(limits.BodyTimeout) {
@@ -278,6 +285,23 @@
 	return req, nil
 }
 
+// requestContinue sends the 100 response for which the caller holds the body back,
+// or has it sent after the responses to earlier requests.
+func (c *conn) requestContinue() {
+	c.mu.Lock()
+	c.continueDue = c.inFlight > 0
+	due := !c.continueDue
+	c.mu.Unlock()
+	if due {
+		c.writeContinue()
+	}
+}
+
+func (c *conn) writeContinue() {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, _ = io.WriteString(c.raw, "HTTP/1.1 100 Continue\r\n\r\n")
+}
+
 func (c *conn) headerErrorResponse(err error) *Response {
 	switch {
 	case c.limited.Left <= 0:
@@ -380,7 +404,9 @@
 				c.stopReading()
 			}
 		}
-		c.endRequest()
+		if c.endRequest() && !done {
+			c.writeContinue()
+		}
 	}
 }
 
--- a/internal/callers/server_test.go
+++ b/internal/callers/server_test.go
@@ -107,6 +107,28 @@
 	}
 }
 
+// Guards against a caller that waits in vain for the 100 response because an
+// earlier response was not written yet.
+func TestContinueFollowsEarlierResponses(t *testing.T) {
+	release := make(chan struct{})
+	conn := dialServer(t, startServer(t, func(ctx context.Context, r *Request) Response {
+		<-release
+		return respondOK(ctx, r)
+	}))
+	replies := bufio.NewReader(conn)
+	send(t, conn, shortRequest+"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n")
+	time.Sleep(settleTime)
+	close(release)
+	for _, want := range []int{http.StatusOK, http.StatusContinue, http.StatusOK} {
+		if resp := receive(t, replies); resp.StatusCode != want {
+			t.Fatalf("status %d, want %d", resp.StatusCode, want)
+		}
+		if want == http.StatusContinue {
+			send(t, conn, "12345")
+		}
+	}
+}
+
 // Guards against refusing or changing a whole body.
 func TestWholeBodiesAreServed(t *testing.T) {
 	for what, text := range map[string]string{
