Test stops under load, and requests behind the last response

TestEveryServedRequestIsAnsweredAtAStopUnderLoad plays Drain, CloseIdle and RefuseUnread against 64 callers that pipeline chunked requests. With endWhileDraining ignoring the requests in flight it fails: "requests were passed to the handler and not answered". TestRequestBehindTheLastResponseIsNotRead fails if beginReading ignores the last response.

--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -317,3 +320,103 @@
 		})
 	}
 }
+
+// Guards against a stop under load that cuts a request which was passed to the
+// handler, or lets a caller send another one behind the last response.
+func TestEveryServedRequestIsAnsweredAtAStopUnderLoad(t *testing.T) {
+	var mu sync.Mutex
+	unanswered := make(map[string]bool)
+	server, address := startStoppableServer(t, func(ctx context.Context, r *Request) Response {
+		mu.Lock()
+		unanswered[r.Target] = true
+		mu.Unlock()
+		time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+		resp := respondOK(ctx, r)
+		resp.Header.Set("Target", r.Target)
+		return resp
+	})
+	var running sync.WaitGroup
+	for caller := range 64 {
+		running.Go(func() {
+			for connection := 0; ; connection++ {
+				conn, err := net.Dial("tcp", address.String())
+				if err != nil {
+					return // the server has stopped
+				}
+				replies := bufio.NewReader(conn)
+				for sent, kept := 0, true; kept; {
+					pipelined := 1 + rand.IntN(3)
+					for range pipelined {
+						text := fmt.Sprintf("POST /%d-%d-%d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n", caller, connection, sent)
+						sent++
+						half := rand.IntN(len(text))
+						_, _ = io.WriteString(conn, text[:half])
+						if rand.IntN(4) == 0 {
+							time.Sleep(time.Millisecond)
+						}
+						_, _ = io.WriteString(conn, text[half:])
+					}
+					for range pipelined {
+						resp, err := http.ReadResponse(replies, nil)
+						if err != nil {
+							kept = false
+							break
+						}
+						if _, err := io.ReadAll(resp.Body); err != nil {
+							t.Errorf("no whole response: %v", err)
+						}
+						mu.Lock()
+						delete(unanswered, resp.Header.Get("Target"))
+						mu.Unlock()
+						if kept = !resp.Close; !kept {
+							break
+						}
+					}
+					time.Sleep(time.Duration(rand.IntN(10)) * time.Millisecond)
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	const phase = 100 * time.Millisecond
+	time.Sleep(phase)
+	server.Drain()
+	time.Sleep(phase)
+	server.CloseIdle()
+	time.Sleep(phase)
+	server.RefuseUnread()
+	if !server.Wait(10 * time.Second) {
+		t.Error("a connection stays open")
+	}
+	running.Wait()
+	if len(unanswered) > 0 {
+		t.Errorf("%d requests were passed to the handler and not answered: %v", len(unanswered), unanswered)
+	}
+}
+
+// Guards against serving a request that was sent behind the last response, which
+// its caller sends again elsewhere.
+func TestRequestBehindTheLastResponseIsNotRead(t *testing.T) {
+	server, _ := startStoppableServer(t, respondOK)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	conn := dialServer(t, listener.Addr())
+	raw, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	served := newConn(server, raw)
+	served.beginRequest()
+	server.Drain()
+	if !served.endWhileDraining() {
+		t.Fatal("the response is not the last one")
+	}
+	send(t, conn, shortRequest)
+	if end, ended := served.awaitRequest(server.limits()); !ended || end != afterResponse {
+		t.Errorf("end %v, %v; want the end after the response", end, ended)
+	}
+}
