upstream: test responses that are cut off at every byte

A caller of another system got a 200 with a short body after its server had closed the connection in the middle of the header. Whether http.ReadResponse takes a header for whole that ends without its blank line was not tested.

The test cuts 12 responses at every byte, with a close and with a reset, on new and on reused connections: each is a failure of a request that may have reached the server. A response without a length is accepted after a close, as HTTP/1.1 says, and fails after a reset or within its header. No fault found.

--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -38,7 +38,10 @@
 
 // exchangeOn sends a request on a connection that returns the scripted bytes.
 func exchangeOn(script []byte, reused bool) (*Response, error) {
-	c := newConn(scriptedConn{Reader: bytes.NewReader(script)}, bounded.New(1<<20))
+	return exchange(newConn(scriptedConn{Reader: bytes.NewReader(script)}, bounded.New(1<<20)), reused)
+}
+
+func exchange(c *conn, reused bool) (*Response, error) {
 	c.used = reused
 	resp, _, err := c.roundTrip(context.Background(), Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MatchResponse: matchID("own")})
 	return resp, err
--- /dev/null
+++ b/internal/upstream/framing_test.go
@@ -0,0 +1,120 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
+)
+
+const (
+	signedHead = "HTTP/1.1 200 OK\r\nId: own\r\nSignature: proof\r\n"
+	lastBody   = "0123456789ab"
+)
+
+// truncatableResponses are whole responses whose end is known before the
+// connection ends.
+var truncatableResponses = map[string]string{
+	"length":              signedHead + "Content-Length: 12\r\n\r\n" + lastBody,
+	"length first":        "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nId: own\r\nSignature: proof\r\n\r\n" + lastBody,
+	"equal lengths":       signedHead + "Content-Length: 12\r\nContent-Length: 12\r\n\r\n" + lastBody,
+	"chunked":             signedHead + "Transfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n2\r\nxy\r\n0\r\n\r\n",
+	"chunk extension":     signedHead + "Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nxy\r\n0;c\r\n\r\n",
+	"trailer":             signedHead + "Trailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\nSum: 1\r\n\r\n",
+	"length and chunked":  signedHead + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
+	"line feeds only":     strings.ReplaceAll(signedHead, "\r\n", "\n") + "Content-Length: 12\n\n" + lastBody,
+	"folded header":       signedHead + "Folded: a\r\n  b\r\nContent-Length: 12\r\n\r\n" + lastBody,
+	"informational first": "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + signedHead + "Content-Length: 12\r\n\r\n" + lastBody,
+	"mismatched first":    response("Id: other\r\n", "other") + signedHead + "Content-Length: 12\r\n\r\n" + lastBody,
+	"HTTP/1.0":            strings.Replace(signedHead, "1.1", "1.0", 1) + "Content-Length: 12\r\n\r\n" + lastBody,
+}
+
+// endings are the errors of a read after the last byte: the server closed or reset
+// the connection.
+var endings = map[string]error{
+	"closed": io.EOF,
+	"reset":  &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET},
+}
+
+type endingReader struct{ err error }
+
+func (r endingReader) Read([]byte) (int, error) { return 0, r.err }
+
+// exchangeUntil is exchangeOn with a connection that ends in an error.
+func exchangeUntil(script string, end error, reused bool) (*Response, error) {
+	c := newConn(scriptedConn{Reader: io.MultiReader(strings.NewReader(script), endingReader{end})}, bounded.New(1<<20))
+	return exchange(c, reused)
+}
+
+// Guards against a truncated response that is taken for a whole one, and against a
+// request that is reported as not sent when its response is cut off.
+func TestResponseCutOffAtAnyByteIsAFailure(t *testing.T) {
+	for name, text := range truncatableResponses {
+		for how, end := range endings {
+			for cut := range len(text) {
+				for _, reused := range []bool{false, true} {
+					resp, err := exchangeUntil(text[:cut], end, reused)
+					var failure *Failure
+					if !errors.As(err, &failure) || !failure.Sent || resp != nil {
+						t.Errorf("%s, %s after %q: %+v, %v, want a failure that may have reached the server", name, how, text[:cut], resp, err)
+					}
+				}
+			}
+			if resp, err := exchangeUntil(text, end, true); err != nil || len(resp.Body) == 0 {
+				t.Errorf("%s, %s after the whole response: %+v, %v", name, how, resp, err)
+			}
+		}
+	}
+}
+
+// Guards against a truncated header, or a reset, of a response whose body ends with
+// its connection.
+func TestResponseWithoutLengthEndsOnlyWithAClose(t *testing.T) {
+	for _, head := range []string{signedHead, strings.Replace(signedHead, "1.1", "1.0", 1)} {
+		text := head + "\r\n" + lastBody
+		for how, end := range endings {
+			for cut := range len(text) + 1 {
+				resp, err := exchangeUntil(text[:cut], end, false)
+				if inBody := cut >= len(head)+len("\r\n"); inBody && how == "closed" {
+					if err != nil || !strings.HasPrefix(lastBody, string(resp.Body)) {
+						t.Errorf("%s after %q: %+v, %v", how, text[:cut], resp, err)
+					}
+					continue
+				}
+				if err == nil {
+					t.Errorf("%s after %q: %+v, want a failure", how, text[:cut], resp)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a response whose framing is ambiguous or unknown, so that its end
+// cannot be told.
+func TestAmbiguousFramingIsAFailure(t *testing.T) {
+	for name, text := range map[string]string{
+		"different lengths":          signedHead + "Content-Length: 12\r\nContent-Length: 2\r\n\r\n" + lastBody,
+		"list of lengths":            signedHead + "Content-Length: 12, 2\r\n\r\n" + lastBody,
+		"no number":                  signedHead + "Content-Length: 1x\r\n\r\n" + lastBody,
+		"negative length":            signedHead + "Content-Length: -1\r\n\r\n" + lastBody,
+		"signed length":              signedHead + "Content-Length: +2\r\n\r\n" + lastBody,
+		"empty length":               signedHead + "Content-Length: \r\n\r\n" + lastBody,
+		"huge length":                signedHead + "Content-Length: 99999999999999999999\r\n\r\n" + lastBody,
+		"unknown encoding":           signedHead + "Transfer-Encoding: gzip\r\n\r\n" + lastBody,
+		"two encodings":              signedHead + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
+		"encoding twice":             signedHead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
+		"tab before colon":           signedHead + "Content-Length\t: 1200\r\n\r\n" + lastBody,
+		"chunk size is no number":    signedHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\nxy\r\n0\r\n\r\n",
+		"chunk longer than its size": signedHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n",
+	} {
+		resp, err := exchangeUntil(text, io.EOF, false)
+		var failure *Failure
+		if !errors.As(err, &failure) || !failure.Sent {
+			t.Errorf("%s: %+v, %v, want a failure", name, resp, err)
+		}
+	}
+}
