upstream: refuse header names with a space

http.ReadResponse keeps a name such as "Content-Length " as it is and doesn't take it for the length. The body then ended with the connection, so a caller could get a 200 with a short body, and the line "Content-Length : 1200" besides the host's own length.

Before: TestAmbiguousFramingIsAFailure failed for "space before colon", "spaced encoding" (the chunks were the body) and "space in a name": status 200 each.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -168,7 +168,7 @@
 func (c *conn) readMatching(req Request, reused bool) (*http.Response, error) {
 	for skipped, informational := 0, 0; ; {
 		c.limited.Left = maxHeaderBytes
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		resp, err := c.readHeader(req.Method)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -108,6 +108,9 @@
 		"two encodings":              signedHead + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
 		"encoding twice":             signedHead + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
 		"tab before colon":           signedHead + "Content-Length\t: 1200\r\n\r\n" + lastBody,
+		"space before colon":         signedHead + "Content-Length : 1200\r\n\r\n" + lastBody,
+		"spaced encoding":            signedHead + "Transfer-Encoding : chunked\r\n\r\n2\r\nxy\r\n",
+		"space in a name":            signedHead + "Content Length: 1200\r\n\r\n" + lastBody,
 		"chunk size is no number":    signedHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\nxy\r\n0\r\n\r\n",
 		"chunk longer than its size": signedHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n",
 	} {
