upstream: refuse a transfer encoding in HTTP/1.0

http.ReadResponse ignores Transfer-Encoding in an HTTP/1.0 response and removes it, so the framing of the chunks was the body, until the connection ended or the stated length was reached: a caller got a 200 with other bytes, cut off at any point. Other responses in HTTP/1.0 are accepted as before.

Before: TestAmbiguousFramingIsAFailure failed for "encoding in HTTP/1.0" (body "2 CRLF xy CRLF") and "encoding, length, HTTP/1.0" (body "2 CR"), status 200 each.

--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -96,6 +96,7 @@
 // Guards against a response whose framing is ambiguous or unknown, so that its end
 // cannot be told.
 func TestAmbiguousFramingIsAFailure(t *testing.T) {
+	old := strings.Replace(signedHead, "1.1", "1.0", 1)
 	for name, text := range map[string]string{
 		"different lengths":          signedHead + "Content-Length: 12\r\nContent-Length: 2\r\n\r\n" + lastBody,
 		"list of lengths":            signedHead + "Content-Length: 12, 2\r\n\r\n" + lastBody,
@@ -111,6 +112,8 @@
 		"space before colon":         signedHead + "Content-Length : 1200\r\n\r\n" + lastBody,
 		"spaced encoding":            signedHead + "Transfer-Encoding : chunked\r\n\r\n2\r\nxy\r\n",
 		"space in a name":            signedHead + "Content Length: 1200\r\n\r\n" + lastBody,
+		"encoding in HTTP/1.0":       old + "Transfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n",
+		"encoding, length, HTTP/1.0": old + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
 		"chunk size is no number":    signedHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\nxy\r\n0\r\n\r\n",
 		"chunk longer than its size": signedHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n",
 	} {
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -1,7 +1,10 @@
 package upstream
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -9,10 +12,23 @@
 // readHeader reads a response up to its body. It refuses what http.ReadResponse
 // accepts although the end of the body cannot be told.
 func (c *conn) readHeader(method string) (*http.Response, error) {
+	const oldVersion, version = "HTTP/1.0", "HTTP/1.1"
+	// An error shows again when the response is read.
+	start, _ := c.reader.Peek(len(oldVersion))
+	isOld := string(start) == oldVersion
+	if isOld {
+		// http.ReadResponse ignores a transfer encoding in HTTP/1.0.
+		_, _ = c.reader.Discard(len(oldVersion))
+		c.reader = bufio.NewReaderSize(io.MultiReader(strings.NewReader(version), c.reader), readBuffer)
+	}
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
 	}
+	resp.Close = resp.Close || isOld
+	if isOld && len(resp.TransferEncoding) > 0 {
+		return nil, errors.New("transfer encoding in HTTP/1.0")
+	}
 	for name := range resp.Header {
 		// Such a name is kept as it is, so a length or an encoding is overlooked.
 		if strings.Contains(name, " ") {
