upstream: refuse other versions of HTTP and statuses below 100

Bytes such as "HTTP/0.9 200 OK" and "HTTP/2.0 200 OK" were read as HTTP/1.1, and a status such as 099 or +20 was skipped as an informational response, with what followed it taken for the response.

Before: TestAmbiguousFramingIsAFailure failed for "version 2", "version 0", "status below 100" and "signed status": status 200 each.

--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -114,6 +114,10 @@
 		"space in a name":            signedHead + "Content Length: 1200\r\n\r\n" + lastBody,
 		"encoding in HTTP/1.0":       old + "Transfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n",
 		"encoding, length, HTTP/1.0": old + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
+		"version 2":                  strings.Replace(signedHead, "1.1", "2.0", 1) + "\r\n" + lastBody,
+		"version 0":                  strings.Replace(signedHead, "1.1", "0.9", 1) + "\r\n" + lastBody,
+		"status below 100":           strings.Replace(signedHead, "200", "099", 1) + "\r\n" + signedHead + "Content-Length: 12\r\n\r\n" + lastBody,
+		"signed status":              strings.Replace(signedHead, "200", "+20", 1) + "\r\n" + signedHead + "Content-Length: 12\r\n\r\n" + lastBody,
 		"chunk size is no number":    signedHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\nxy\r\n0\r\n\r\n",
 		"chunk longer than its size": signedHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n",
 	} {
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -29,6 +29,9 @@
 	if isOld && len(resp.TransferEncoding) > 0 {
 		return nil, errors.New("transfer encoding in HTTP/1.0")
 	}
+	if resp.Proto != version || resp.StatusCode < http.StatusContinue {
+		return nil, fmt.Errorf("version %q and status %d", resp.Proto, resp.StatusCode)
+	}
 	for name := range resp.Header {
 		// Such a name is kept as it is, so a length or an encoding is overlooked.
 		if strings.Contains(name, " ") {
