upstream: a connection closed without a byte is a lost connection

http.ReadResponse turns io.EOF into io.ErrUnexpectedEOF, so the request of a server that closed without any response was counted as answer-truncated (304) and not as connection-lost (300). Only the counter and the log differ; both are 502.

Before: TestConnectionThatEndsWithoutAByteIsNoInvalidResponse failed for a close after "".

--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -128,3 +128,16 @@
 		}
 	}
 }
+
+// Guards against a lost connection that is counted as an invalid response.
+func TestConnectionThatEndsWithoutAByteIsNoInvalidResponse(t *testing.T) {
+	for how, end := range endings {
+		for script, invalid := range map[string]bool{"": false, "HTTP/1.1 200 OK\r\nId: o": how == "closed"} {
+			_, err := exchangeUntil(script, end, false)
+			var failure *Failure
+			if !errors.As(err, &failure) || failure.InvalidResponse != invalid {
+				t.Errorf("%s after %q: %+v, want an invalid response: %v", how, script, failure, invalid)
+			}
+		}
+	}
+}
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -13,8 +13,10 @@
 // accepts although the end of the body cannot be told.
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	const oldVersion, version = "HTTP/1.0", "HTTP/1.1"
-	// An error shows again when the response is read.
-	start, _ := c.reader.Peek(len(oldVersion))
+	start, err := c.reader.Peek(len(oldVersion))
+	if err != nil && len(start) == 0 {
+		return nil, err
+	}
 	isOld := string(start) == oldVersion
 	if isOld {
 		// http.ReadResponse ignores a transfer encoding in HTTP/1.0.
