upstream: count what was written before a request is called unsent

A body of 16 KB or more is written while the response is read. If the connection ended between the kernel's accepting the header and its being counted, for which it is enough that the process is stopped there, the request counted as not sent: it could run at a second server, or its caller could get a 503. The failure now waits for the write, which ends with the connection.

Before: TestRequestThatIsBeingWrittenMayHaveBeenSent failed: the failure said that the request had not been sent.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -115,11 +115,11 @@
 	}
 	resp, err := c.readMatching(req, reused)
 	if err != nil {
-		return nil, false, c.failure(ctx, err)
+		return nil, false, c.failure(ctx, wrote, err)
 	}
 	body, err := c.memory.ReadAll(resp.Body, resp.ContentLength, maxResponseBytes)
 	if err != nil {
-		return nil, false, c.failure(ctx, fmt.Errorf("read answer: %w", err))
+		return nil, false, c.failure(ctx, wrote, fmt.Errorf("read answer: %w", err))
 	}
 	c.memory.Release(int64(cap(body)))
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, c.isReusable(resp, wrote), nil
@@ -194,7 +194,11 @@
 	}
 }
 
-func (c *conn) failure(ctx context.Context, err error) *Failure {
+// failure closes the connection and returns the failure of its request.
+func (c *conn) failure(ctx context.Context, wrote <-chan error, err error) *Failure {
+	// The number of bytes that the kernel accepted is known once the write ended.
+	_ = c.raw.Close()
+	<-wrote
 	f := &Failure{Sent: c.written.Load() > 0, Err: err}
 	if cause := context.Cause(ctx); cause != nil {
 		f.Err = cause
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -22,6 +22,7 @@
 func (c scriptedConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
 func (scriptedConn) Write(p []byte) (int, error)  { return len(p), nil }
 func (scriptedConn) SetDeadline(time.Time) error  { return nil }
+func (scriptedConn) Close() error                 { return nil }
 
 func matchID(id string) func(http.Header) Match {
 	return func(h http.Header) Match {
--- /dev/null
+++ b/internal/upstream/write_test.go
@@ -0,0 +1,54 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
+)
+
+// delayedWriteConn delivers what is written at once, and returns from the write
+// only when the connection is closed. Its server closes after the first bytes.
+type delayedWriteConn struct {
+	net.Conn
+	delivered, closed chan struct{}
+	deliver, shut     sync.Once
+}
+
+func (c *delayedWriteConn) Write(p []byte) (int, error) {
+	c.deliver.Do(func() { close(c.delivered) })
+	<-c.closed
+	return len(p), nil
+}
+
+func (c *delayedWriteConn) Read([]byte) (int, error) {
+	<-c.delivered
+	return 0, io.EOF
+}
+
+func (c *delayedWriteConn) Close() error {
+	c.shut.Do(func() { close(c.closed) })
+	return nil
+}
+
+func (*delayedWriteConn) SetDeadline(time.Time) error { return nil }
+
+// Guards against a request that is reported as not sent, and sent again, because its
+// connection ended before the write of its header had been counted.
+func TestRequestThatIsBeingWrittenMayHaveBeenSent(t *testing.T) {
+	raw := &delayedWriteConn{delivered: make(chan struct{}), closed: make(chan struct{})}
+	defer raw.Close()
+	c := newConn(raw, bounded.New(1<<20))
+	body := make([]byte, concurrentWriteBytes)
+	_, _, err := c.roundTrip(context.Background(), Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body, MatchResponse: matchID("own")})
+	var failure *Failure
+	if !errors.As(err, &failure) || !failure.Sent {
+		t.Errorf("%+v, want a failure that may have reached the server", failure)
+	}
+}
