upstream: do not reuse a connection with a part of a request

The error of a write that had sent a part of a small request was dropped, so a connection whose server responded to that part could be kept, and the next request on it would have been read as the remainder of the first one.

Before: TestConnectionWithAPartOfARequestIsNotReused failed: reusable.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -108,10 +108,11 @@
 	}()
 	wrote := c.send(req)
 	if len(req.Body) < concurrentWriteBytes {
-		if err := <-wrote; err != nil && c.written.Load() == 0 {
+		err := <-wrote
+		if err != nil && c.written.Load() == 0 {
 			return nil, false, &Failure{Err: fmt.Errorf("send request: %w", err)}
 		}
-		wrote <- nil
+		wrote <- err
 	}
 	resp, err := c.readMatching(req, reused)
 	if err != nil {
--- a/internal/upstream/write_test.go
+++ b/internal/upstream/write_test.go
@@ -52,3 +52,28 @@
 		t.Errorf("%+v, want a failure that may have reached the server", failure)
 	}
 }
+
+// failingWriteConn accepts a part of what is written, and then fails.
+type failingWriteConn struct{ scriptedConn }
+
+func (failingWriteConn) Write(p []byte) (int, error) { return len(p) / 2, io.ErrClosedPipe }
+
+// Guards against another request on a connection whose server has only a part of the
+// last one.
+func TestConnectionWithAPartOfARequestIsNotReused(t *testing.T) {
+	raw := failingWriteConn{scriptedConn{Reader: &wholeReader{text: response("Id: own\r\n", "own")}}}
+	c := newConn(raw, bounded.New(1<<20))
+	resp, reusable, err := c.roundTrip(context.Background(), Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, MatchResponse: matchID("own")})
+	if err != nil || string(resp.Body) != "own" || reusable {
+		t.Errorf("%+v, %v, reusable %v; want the response and the end of the connection", resp, err, reusable)
+	}
+}
+
+// wholeReader returns a text and then waits for no end.
+type wholeReader struct{ text string }
+
+func (r *wholeReader) Read(p []byte) (int, error) {
+	n := copy(p, r.text)
+	r.text = r.text[n:]
+	return n, nil
+}
