upstream: bound the lines of a response's header

A header of 64 KB with many short lines takes about 1 MB once it is parsed, which no limit counted: 240 such responses at once, from 40 servers, took a host with a memory setting of 136 MB to 272 MB, where the platform kills it.

A header is now parsed only when all its lines have arrived, 256 of them at most. One that exceeds the 4 KB of a connection's buffer reserves 64 KB of the memory for responses while it is read. Bytes that begin with no version of HTTP 1, or a line without a colon, end the request at once.

TestLongHeaderIsReadWithinTheMemory covers the limits.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -49,7 +49,9 @@
 type conn struct {
 	raw     net.Conn
 	limited *bounded.Reader
-	reader  *bufio.Reader
+	base    *bufio.Reader
+	// reader is base, or a larger buffer while a response has a long header.
+	reader *bufio.Reader
 	// memory bounds the responses that are being read.
 	memory   *bounded.Budget
 	written  atomic.Int64
@@ -60,7 +62,8 @@
 
 func newConn(raw net.Conn, memory *bounded.Budget) *conn {
 	limit := &bounded.Reader{From: raw}
-	return &conn{raw: raw, limited: limit, reader: bufio.NewReaderSize(limit, readBuffer), memory: memory}
+	base := bufio.NewReaderSize(limit, readBuffer)
+	return &conn{raw: raw, limited: limit, base: base, reader: base, memory: memory}
 }
 
 // isIdle reports whether the connection is open and has no unread bytes. Bytes
@@ -100,6 +103,7 @@
 	c.written.Store(0)
 	reused := c.used
 	c.used = true
+	defer c.shrinkBuffer()
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
 		if !stop() {
@@ -222,7 +226,7 @@
 		// The server responded before it had the whole request.
 		return false
 	}
-	if resp.Close || c.reader.Buffered() > 0 {
+	if resp.Close || c.reader.Buffered() > 0 || c.base.Buffered() > 0 {
 		return false
 	}
 	c.useUntil = time.Now().Add(idleTimeout(resp.Header))
--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -141,3 +141,39 @@
 		}
 	}
 }
+
+// Guards against header lines that take more memory than their bytes, and against a
+// long header that is refused or costs the memory of the next ones.
+func TestLongHeaderIsReadWithinTheMemory(t *testing.T) {
+	const (
+		memory  = 100 << 10
+		allowed = 40 << 10
+	)
+	for name, c := range map[string]struct {
+		header string
+		whole  bool
+	}{
+		"long line":     {"Long: " + strings.Repeat("x", allowed) + "\r\n", true},
+		"many lines":    {strings.Repeat("Line: x\r\n", maxHeaderLines-5), true},
+		"too many":      {strings.Repeat("L:\r\n", maxHeaderLines), false},
+		"too long":      {"Long: " + strings.Repeat("x", maxHeaderBytes) + "\r\n", false},
+		"without colon": {"Line\r\n", false},
+	} {
+		text := strings.Replace(signedHead, "\r\n", "\r\n"+c.header, 1) + "Content-Length: 12\r\n\r\n" + lastBody
+		budget := bounded.New(memory)
+		conn := newConn(scriptedConn{Reader: io.MultiReader(strings.NewReader(text), strings.NewReader(text), endingReader{io.EOF})}, budget)
+		for range 2 {
+			resp, err := exchange(conn, true)
+			if (err == nil) != c.whole || err == nil && string(resp.Body) != lastBody {
+				t.Errorf("%s: %+.100v, %v", name, resp, err)
+			}
+			if budget.Free() != memory {
+				t.Errorf("%s: %d bytes stay reserved", name, memory-budget.Free())
+			}
+		}
+	}
+	conn := newConn(scriptedConn{Reader: strings.NewReader(signedHead + "Long: " + strings.Repeat("x", allowed))}, bounded.New(maxHeaderBytes-1))
+	if _, err := exchange(conn, false); !errors.Is(err, bounded.ErrExhausted) {
+		t.Errorf("%v for a long header without memory for it", err)
+	}
+}
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -2,36 +2,43 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
+)
+
+const (
+	// maxHeaderLines bounds the status line and the header lines of a response: a
+	// parsed line takes far more memory than its bytes.
+	maxHeaderLines = 256
+
+	versionPrefix = "HTTP/1."
+	oldVersion    = "HTTP/1.0"
+	version       = "HTTP/1.1"
 )
 
 // readHeader reads a response up to its body. It refuses what http.ReadResponse
 // accepts although the end of the body cannot be told.
 func (c *conn) readHeader(method string) (*http.Response, error) {
-	const oldVersion, version = "HTTP/1.0", "HTTP/1.1"
-	start, err := c.reader.Peek(len(oldVersion))
-	if err != nil && len(start) == 0 {
+	text, err := c.peekHeader()
+	if err != nil {
 		return nil, err
 	}
-	isOld := string(start) == oldVersion
-	if isOld {
-		// http.ReadResponse ignores a transfer encoding in HTTP/1.0.
-		_, _ = c.reader.Discard(len(oldVersion))
-		c.reader = bufio.NewReaderSize(io.MultiReader(strings.NewReader(version), c.reader), readBuffer)
-	}
+	// http.ReadResponse ignores and removes a transfer encoding in HTTP/1.0.
+	oldEncoding := bytes.HasPrefix(text, []byte(oldVersion)) && bytes.Contains(bytes.ToLower(text), []byte("\ntransfer-encoding:"))
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
 	}
-	resp.Close = resp.Close || isOld
-	if isOld && len(resp.TransferEncoding) > 0 {
+	if oldEncoding {
 		return nil, errors.New("transfer encoding in HTTP/1.0")
 	}
-	if resp.Proto != version || resp.StatusCode < http.StatusContinue {
+	if resp.Proto != version && resp.Proto != oldVersion || resp.StatusCode < http.StatusContinue {
 		return nil, fmt.Errorf("version %q and status %d", resp.Proto, resp.StatusCode)
 	}
 	for name := range resp.Header {
@@ -42,3 +49,71 @@
 	}
 	return resp, nil
 }
+
+// peekHeader waits for a whole header, within the limits, and leaves it unread.
+func (c *conn) peekHeader() ([]byte, error) {
+	// line is where the line begins that is being received.
+	lines, line := 0, 0
+	for scanned := 0; ; {
+		if _, err := c.reader.Peek(scanned + 1); err != nil {
+			if errors.Is(err, bufio.ErrBufferFull) {
+				err = c.enlargeBuffer()
+			} else if errors.Is(err, io.EOF) && scanned > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			if err != nil {
+				return nil, err
+			}
+			continue
+		}
+		text, _ := c.reader.Peek(c.reader.Buffered())
+		if n := min(len(text), len(versionPrefix)); string(text[:n]) != versionPrefix[:n] {
+			return nil, errors.New("response does not begin with a version of HTTP")
+		}
+		for ; scanned < len(text); scanned++ {
+			if text[scanned] != '\n' {
+				continue
+			}
+			ended, err := checkLine(text[line:scanned], lines)
+			if ended || err != nil {
+				return text[:scanned+1], err
+			}
+			lines, line = lines+1, scanned+1
+		}
+	}
+}
+
+// checkLine checks a line, without its line feed, that follows n others. It reports
+// whether the line ends the header.
+func checkLine(line []byte, n int) (ended bool, err error) {
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	switch {
+	case len(line) == 0:
+		return true, nil
+	case n >= maxHeaderLines:
+		return false, errors.New("too many header lines")
+	case n > 0 && line[0] != ' ' && line[0] != '\t' && !bytes.Contains(line, []byte(":")):
+		return false, errors.New("header line without a colon")
+	}
+	return false, nil
+}
+
+// enlargeBuffer makes room for a header that exceeds the buffer.
+func (c *conn) enlargeBuffer() error {
+	if c.reader != c.base {
+		return errors.New("header is too long")
+	}
+	if !c.memory.Reserve(maxHeaderBytes) {
+		return bounded.ErrExhausted
+	}
+	c.reader = bufio.NewReaderSize(c.base, maxHeaderBytes)
+	return nil
+}
+
+// shrinkBuffer ends the use of an enlarged buffer. Its unread bytes are lost.
+func (c *conn) shrinkBuffer() {
+	if c.reader != c.base {
+		c.reader = c.base
+		c.memory.Release(maxHeaderBytes)
+	}
+}
