bounded: long bodies leave memory to short ones

Responses without end are refused once the memory for responses is used up. Until then they also kept the responses of other servers from being read: their requests had run, and their callers got a 502.

A body whose stated length is up to 256 KB may now use the whole memory. Any other one may use it for its first 64 KB only, and grow while a quarter stays free. A body of a stated length no longer reserves more than that.

TestLongBodiesLeaveMemoryForShortOnes failed: the short body got ErrExhausted.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -12,6 +12,14 @@
 // body is known to be shorter.
 const minGrowBytes = 64 << 10
 
+// A body whose stated length is up to smallBodyBytes may use the whole budget, any
+// other one only its first minGrowBytes: what it grows by leaves a part of
+// 1/smallShare free. Otherwise bodies without end keep others from being read.
+const (
+	smallBodyBytes = 256 << 10
+	smallShare     = 4
+)
+
 // Errors of ReadAll.
 var (
 	// ErrExhausted means that the budget has too little memory left.
@@ -22,12 +30,14 @@
 
 // Budget is an amount of memory in bytes. It is safe for concurrent use.
 type Budget struct {
+	total int64
+
 	mu   sync.Mutex
 	free int64
 }
 
 // New returns a budget of the given number of bytes.
-func New(bytes int64) *Budget { return &Budget{free: bytes} }
+func New(bytes int64) *Budget { return &Budget{total: bytes, free: bytes} }
 
 // Free returns the number of bytes that are not reserved.
 func (b *Budget) Free() int64 {
@@ -37,10 +47,13 @@
 }
 
 // Reserve reserves n bytes and returns true, or returns false if fewer are free.
-func (b *Budget) Reserve(n int64) bool {
+func (b *Budget) Reserve(n int64) bool { return b.reserve(n, 0) }
+
+// reserve reserves n bytes if at least rest bytes stay free.
+func (b *Budget) reserve(n, rest int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.free < n {
+	if b.free-n < rest {
 		return false
 	}
 	b.free -= n
@@ -69,13 +82,17 @@
 			return body, ErrTooLong
 		}
 		if len(body) == cap(body) {
-			grown := cap(body)*2 + minGrowBytes
-			if len(body) == 0 && size >= 0 && size < minGrowBytes {
+			grown := int64(cap(body))*2 + minGrowBytes
+			if size >= int64(len(body)) && size < grown {
 				// One more byte, because the end of the body is found only by
 				// another read.
-				grown = int(size) + 1
+				grown = size + 1
+			}
+			rest := int64(0)
+			if grown > minGrowBytes && (size < 0 || size > smallBodyBytes) {
+				rest = b.total / smallShare
 			}
-			if !b.Reserve(int64(grown - cap(body))) {
+			if !b.reserve(grown-int64(cap(body)), rest) {
 				return body, ErrExhausted
 			}
 			body = append(make([]byte, 0, grown), body...)
--- a/internal/bounded/bounded_test.go
+++ b/internal/bounded/bounded_test.go
@@ -62,3 +62,24 @@
 type truncatedReader struct{}
 
 func (truncatedReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Guards against long bodies that keep short ones from being read.
+func TestLongBodiesLeaveMemoryForShortOnes(t *testing.T) {
+	for _, stated := range []int64{-1, limit} {
+		b := New(limit)
+		var held int64
+		for size := int64(2 * minGrowBytes); ; size *= 2 {
+			body, err := b.ReadAll(io.LimitReader(endlessReader{}, size), stated, limit)
+			if err != nil {
+				break
+			}
+			held += int64(cap(body))
+		}
+		if free := b.Free(); free < limit/smallShare || free != limit-held {
+			t.Errorf("%d bytes are free, want %d at least", free, limit/smallShare)
+		}
+		if body, err := b.ReadAll(bytes.NewReader(make([]byte, smallBodyBytes-1)), smallBodyBytes-1, limit); err != nil || cap(body) != smallBodyBytes {
+			t.Errorf("short body: capacity %d, %v", cap(body), err)
+		}
+	}
+}
