--- a/internal/upstream/write_test.go
+++ b/internal/upstream/write_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -77,3 +78,59 @@
 	r.text = r.text[n:]
 	return n, nil
 }
+
+// Guards against a request without end, or one that counts as not sent, whose server
+// responds before it has read the body.
+func TestResponseBeforeTheEndOfTheBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		script   string
+		repeated string
+		whole    bool
+	}{
+		"whole":         {response("Id: own\r\n", "own"), "", true},
+		"cut off":       {"HTTP/1.1 200 OK\r\nId: own\r\nContent-Le", "", false},
+		"endless line":  {"HTTP/1.1 200 ", strings.Repeat("O", readBuffer), false},
+		"endless body":  {"HTTP/1.1 200 OK\r\nId: own\r\n\r\n", strings.Repeat("b", readBuffer), false},
+		"endless other": {"", response("Id: other\r\n", "other"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				raw, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer raw.Close()
+				_, _ = raw.Read(make([]byte, 10))
+				_, err = io.WriteString(raw, c.script)
+				for err == nil && c.repeated != "" {
+					_, err = io.WriteString(raw, c.repeated)
+				}
+				if c.whole {
+					// The connection is closed although the body is not written yet.
+					_, _ = io.Copy(io.Discard, raw)
+				}
+			}()
+			memory := bounded.New(64 << 20)
+			pool := NewPool(listener.Addr().String(), memory)
+			defer pool.Close()
+			req := Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 16<<20), MatchResponse: matchID("own")}
+			resp, err := pool.Do(context.Background(), req, func(time.Duration) {})
+			var failure *Failure
+			if c.whole && (err != nil || string(resp.Body) != "own") || !c.whole && (!errors.As(err, &failure) || !failure.Sent) {
+				t.Errorf("%+v, %v", resp, err)
+			}
+			<-ended
+			if memory.Free() != 64<<20 {
+				t.Errorf("%d bytes stay reserved", 64<<20-memory.Free())
+			}
+		})
+	}
+}
