--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -49,7 +49,9 @@
 type conn struct {
 	raw     net.Conn
 	limited *bounded.Reader
-	reader  *bufio.Reader
+	base    *bufio.Reader
+	// reader is base, or a larger buffer while a response has a long header.
+	reader *bufio.Reader
 	// memory bounds the responses that are being read.
 	memory   *bounded.Budget
 	written  atomic.Int64
@@ -60,7 +62,8 @@
 
 func newConn(raw net.Conn, memory *bounded.Budget) *conn {
 	limit := &bounded.Reader{From: raw}
-	return &conn{raw: raw, limited: limit, reader: bufio.NewReaderSize(limit, readBuffer), memory: memory}
+	base := bufio.NewReaderSize(limit, readBuffer)
+	return &conn{raw: raw, limited: limit, base: base, reader: base, memory: memory}
 }
 
 // isIdle reports whether the connection is open and has no unread bytes. Bytes
@@ -100,6 +103,7 @@
 	c.written.Store(0)
 	reused := c.used
 	c.used = true
+	defer c.shrinkBuffer()
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
 		if !stop() {
@@ -108,18 +112,19 @@
 	}()
 	wrote := c.send(req)
 	if len(req.Body) < concurrentWriteBytes {
-		if err := <-wrote; err != nil && c.written.Load() == 0 {
+		err := <-wrote
+		if err != nil && c.written.Load() == 0 {
 			return nil, false, &Failure{Err: fmt.Errorf("send request: %w", err)}
 		}
-		wrote <- nil
+		wrote <- err
 	}
 	resp, err := c.readMatching(req, reused)
 	if err != nil {
-		return nil, false, c.failure(ctx, err)
+		return nil, false, c.failure(ctx, wrote, err)
 	}
 	body, err := c.memory.ReadAll(resp.Body, resp.ContentLength, maxResponseBytes)
 	if err != nil {
-		return nil, false, c.failure(ctx, fmt.Errorf("read answer: %w", err))
+		return nil, false, c.failure(ctx, wrote, fmt.Errorf("read answer: %w", err))
 	}
 	c.memory.Release(int64(cap(body)))
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, c.isReusable(resp, wrote), nil
@@ -168,7 +173,7 @@
 func (c *conn) readMatching(req Request, reused bool) (*http.Response, error) {
 	for skipped, informational := 0, 0; ; {
 		c.limited.Left = maxHeaderBytes
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
+		resp, err := c.readHeader(req.Method)
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
@@ -194,7 +199,11 @@
 	}
 }
 
-func (c *conn) failure(ctx context.Context, err error) *Failure {
+// failure closes the connection and returns the failure of its request.
+func (c *conn) failure(ctx context.Context, wrote <-chan error, err error) *Failure {
+	// The number of bytes that the kernel accepted is known once the write ended.
+	_ = c.raw.Close()
+	<-wrote
 	f := &Failure{Sent: c.written.Load() > 0, Err: err}
 	if cause := context.Cause(ctx); cause != nil {
 		f.Err = cause
@@ -217,7 +226,7 @@
 		// The server responded before it had the whole request.
 		return false
 	}
-	if resp.Close || c.reader.Buffered() > 0 {
+	if resp.Close || c.reader.Buffered() > 0 || c.base.Buffered() > 0 {
 		return false
 	}
 	c.useUntil = time.Now().Add(idleTimeout(resp.Header))
