--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -14,6 +14,10 @@
 // any more: the longest use of a cached lookup, plus a margin.
 const lookupDrainTime = 3*lookupTTL + 300*time.Millisecond
 
+// settleTime is how long a stop waits at the end of the grace period for responses
+// that have arrived: the process may have been suspended until now.
+const settleTime = 50 * time.Millisecond
+
 // errHostStopped ends the requests that have no response when the grace period of a
 // shutdown ends.
 var errHostStopped = errors.New("the host was stopped")
@@ -30,7 +34,7 @@
 	time.Sleep(time.Until(plan.AcceptUntil))
 	lookups.CloseIdle()
 	h.entry.CloseIdle()
-	if !h.entry.Wait(time.Until(plan.RespondBy)) {
+	if !h.entry.Wait(time.Until(plan.RespondBy)) && !h.entry.Wait(settleTime) {
 		h.logUnfinished(plan.Began)
 		h.inFlight.cancelAll(errHostStopped)
 		h.entry.RefuseUnread()
