Refuse late requests of a stop that their own deadline does not bound

Cause: a stopping host decides by an estimate whether a request completes before the stop. The estimate is the longest of the last 64 runs of the class, which a run that is slower than all of them exceeds.

Change: a request that has arrived whole later than 2.8 s after the signal, when cached lookups are about to expire, starts only if its own deadline comes before the stop, and is refused as not run otherwise. Estimates decide only on earlier requests.

--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -57,6 +57,7 @@
 	service   string
 	version   uint64
 	object    placement.Object
+	received  time.Time
 	deadline  time.Time
 	timeoutAt time.Time
 
@@ -94,7 +95,7 @@
 	if call.TimeLeft == 0 {
 		call.TimeLeft = defaultTimeLeft
 	}
-	r := &requestState{host: h, req: req, call: call, route: route, version: view.Config.Version}
+	r := &requestState{host: h, req: req, call: call, route: route, version: view.Config.Version, received: time.Now()}
 	r.trace = newTrace(h.Settings.ID, call.ID, req.Received)
 	r.deadline = req.Received.Add(call.TimeLeft)
 	r.timeoutAt = r.deadline
@@ -175,6 +176,7 @@
 		Sticky:   r.route.Sticky && r.call.Object != "",
 		Priority: r.route.Priority,
 		Target:   r.route.TargetLatency,
+		Received: r.received,
 		TargetAt: r.req.Received.Add(r.route.TargetLatency),
 		Deadline: r.timeoutAt,
 		Tried:    slices.Clone(r.tried),
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -14,6 +14,10 @@
 // any more: the longest use of a cached lookup, plus a margin.
 const lookupDrainTime = 3*lookupTTL + 300*time.Millisecond
 
+// stopSignalDelay bounds the time by which this host sees the stop signal later than
+// it was sent.
+const stopSignalDelay = 200 * time.Millisecond
+
 // errHostStopped ends the requests that have no response when the grace period of a
 // shutdown ends.
 var errHostStopped = errors.New("the host was stopped")
@@ -26,7 +30,7 @@
 	h.stopping.Store(true)
 	h.entry.Drain()
 	h.announce()
-	h.refuseLongRequests(plan.RespondBy)
+	h.refuseLongRequests(plan)
 	time.Sleep(time.Until(plan.AcceptUntil))
 	lookups.CloseIdle()
 	h.entry.CloseIdle()
@@ -39,12 +43,14 @@
 	lookups.Wait(time.Until(plan.ExitBy))
 }
 
-// refuseLongRequests refuses the requests that might not complete before the given
-// time: those that wait now, and those that arrive later.
-func (h *Host) refuseLongRequests(respondBy time.Time) {
+// refuseLongRequests refuses the requests that might not complete in the shutdown:
+// those that wait now, and those that arrive later. Once cached lookups have expired,
+// no estimate is relied on.
+func (h *Host) refuseLongRequests(plan drain.Shutdown) {
+	lateFrom := plan.Began.Add(3*lookupTTL - stopSignalDelay)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.deliver(h.scheduler.Stop(time.Now(), respondBy))
+	h.deliver(h.scheduler.Stop(time.Now(), lateFrom, plan.RespondBy))
 }
 
 // stoppingRetryAfter returns the delay after which a caller should send a request
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -49,6 +49,8 @@
 	Priority int
 	// Target is the target latency; 0 if the job has none.
 	Target time.Duration
+	// Received is when the whole request had arrived.
+	Received time.Time
 	// TargetAt is when the target latency ends, Deadline when the response is
 	// no longer useful.
 	TargetAt time.Time
@@ -123,8 +125,9 @@
 	classes  map[string]*classEstimate
 	// rtt has the round trip time to the servers of each other region.
 	rtt map[string]time.Duration
-	// stopAt is when the host stops, or zero.
-	stopAt time.Time
+	// stopAt is when the host stops, or zero. Requests that arrive after lateFrom are
+	// late.
+	stopAt, lateFrom time.Time
 }
 
 type service struct {
--- a/pkg/scheduler/stop.go
+++ b/pkg/scheduler/stop.go
@@ -38,9 +38,11 @@
 
 // Stop sets the time at which the host stops. From now on a job starts only if even
 // a slow run completes before, and is refused at once otherwise: its caller has the
-// time to use another host. It returns verdicts on jobs that wait.
-func (s *Scheduler) Stop(now, at time.Time) []Verdict {
-	s.stopAt = at
+// time to use another host. A request that arrives after lateFrom starts only if its
+// deadline comes before the stop: few do, and an estimate may be wrong. Stop returns
+// verdicts on jobs that wait.
+func (s *Scheduler) Stop(now, lateFrom, at time.Time) []Verdict {
+	s.stopAt, s.lateFrom = at, lateFrom
 	return s.Tick(now)
 }
 
@@ -51,6 +53,9 @@
 	if s.stopAt.IsZero() || !job.Deadline.After(s.stopAt) {
 		return true
 	}
+	if job.Received.After(s.lateFrom) {
+		return false
+	}
 	run := max(s.class(job).history.longest(), stopFactor*(o.longest-o.wait))
 	return !now.Add(o.wait + run).After(s.stopAt)
 }
--- a/pkg/scheduler/stop_test.go
+++ b/pkg/scheduler/stop_test.go
@@ -35,7 +35,7 @@
 		slow + 100*time.Millisecond: NotRefused,
 	} {
 		s := stoppingScheduler(t, runs...)
-		s.Stop(now, now.Add(left))
+		s.Stop(now, now, now.Add(left))
 		job := newJob(now, "late", 0, 10*time.Second)
 		verdicts := s.Submit(now, job)
 		if len(verdicts) != 1 || verdicts[0].Refused != want {
@@ -51,7 +51,7 @@
 func TestJobsThatEndBeforeTheStopAreNotRefused(t *testing.T) {
 	s := stoppingScheduler(t, 4*time.Second)
 	now := start.Add(time.Hour)
-	s.Stop(now, now.Add(2*time.Second))
+	s.Stop(now, now, now.Add(2*time.Second))
 	job := newJob(now, "short", 0, 1900*time.Millisecond)
 	if granted(s.Submit(now, job), job) == "" {
 		t.Error("a job was refused although its deadline comes before the stop")
@@ -63,7 +63,7 @@
 	s := newScheduler(servers(4, 3))
 	job := newJob(start, "a", 0, time.Minute)
 	expected := s.class(job).cold
-	s.Stop(start, start.Add(2*expected))
+	s.Stop(start, start, start.Add(2*expected))
 	if verdicts := s.Submit(start, job); len(verdicts) != 1 || verdicts[0].Refused != HostStopping {
 		t.Errorf("%+v with twice the expected time left, want a refusal", verdicts)
 	}
@@ -81,7 +81,7 @@
 		t.Fatalf("%+v, want a job that waits", verdicts)
 	}
 	stopAt := start.Add(5 * time.Second)
-	if verdicts := s.Stop(start, stopAt); len(verdicts) != 0 {
+	if verdicts := s.Stop(start, start, stopAt); len(verdicts) != 0 {
 		t.Errorf("%+v although enough time is left", verdicts)
 	}
 	for now := start; now.Before(stopAt); now = now.Add(100 * time.Millisecond) {
@@ -94,3 +94,20 @@
 	}
 	t.Error("the job waited until the host stopped")
 }
+
+// Guards against a request that arrives late in a stop, is estimated too short and is
+// cut off at the stop.
+func TestLateRequestStartsOnlyIfItsDeadlineComesBeforeTheStop(t *testing.T) {
+	s := stoppingScheduler(t, 100*time.Millisecond, 100*time.Millisecond)
+	now := start.Add(time.Hour)
+	stopAt := now.Add(5 * time.Second)
+	s.Stop(now, now, stopAt)
+	now = now.Add(time.Millisecond)
+	for limit, want := range map[time.Duration]Reason{4 * time.Second: NotRefused, 6 * time.Second: HostStopping} {
+		job := newJob(now, "late", 0, limit)
+		job.Received = now
+		if verdicts := s.Submit(now, job); len(verdicts) != 1 || verdicts[0].Refused != want {
+			t.Errorf("a late request with the limit %v: %+v, want %v", limit, verdicts, want)
+		}
+	}
+}
