End runs no earlier than the last sixth of a short grace period

Cause: a shutdown ended the runs at servers 0.7 s before the kill, which is before the last sixth of a grace period of less than 4.2 s.

Change: the margin is an eighth of the grace period at most. A grace period of 5.6 s or more keeps its schedule.

Measured: with a grace period of 1 s, runs ended 0.53 s before the last sixth, and none now. TestShutdownEndsBeforeTheKill fails without the change.

--- a/pkg/drain/shutdown.go
+++ b/pkg/drain/shutdown.go
@@ -8,6 +8,9 @@
 	responseMargin = 700 * time.Millisecond
 	// exitMargin is the part of responseMargin that is left for the exit.
 	exitMargin = 100 * time.Millisecond
+	// maxResponseShare bounds responseMargin, so that a short grace period leaves time
+	// to complete requests.
+	maxResponseShare = 0.125
 	// maxAcceptShare bounds the part of a shutdown in which new connections are
 	// accepted, so that a short grace period leaves time to complete requests.
 	maxAcceptShare = 0.6
@@ -29,11 +32,12 @@
 // ends in a kill after the grace period. Callers may use the host for lookupTime
 // after it has left the lookup responses.
 func PlanShutdown(began time.Time, grace, lookupTime time.Duration) Shutdown {
-	usable := max(grace-responseMargin, 0)
+	margin := min(responseMargin, time.Duration(maxResponseShare*float64(grace)))
+	usable := grace - margin
 	return Shutdown{
 		Began:       began,
 		AcceptUntil: began.Add(min(lookupTime, time.Duration(maxAcceptShare*float64(usable)))),
 		RespondBy:   began.Add(usable),
-		ExitBy:      began.Add(max(grace-exitMargin, 0)),
+		ExitBy:      began.Add(grace - margin*exitMargin/responseMargin),
 	}
 }
--- a/pkg/drain/shutdown_test.go
+++ b/pkg/drain/shutdown_test.go
@@ -15,6 +15,9 @@
 		if !inOrder {
 			t.Errorf("grace %v: %+v is out of order, or ends after the kill", grace, s)
 		}
+		if early := kill.Add(-grace / 6).Sub(s.RespondBy); early > 0 {
+			t.Errorf("grace %v: ends runs %v before the last sixth", grace, early)
+		}
 	}
 	if got := PlanShutdown(start, time.Minute, lookupTime).AcceptUntil; !got.Equal(start.Add(lookupTime)) {
 		t.Errorf("accepts until %v after the signal, want until no caller uses the host", got.Sub(start))
