--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -14,6 +14,10 @@
 // any more: the longest use of a cached lookup, plus a margin.
 const lookupDrainTime = 3*lookupTTL + 300*time.Millisecond
 
+// stopSignalDelay bounds the time by which this host sees the stop signal later than
+// it was sent.
+const stopSignalDelay = 200 * time.Millisecond
+
 // settleTime is how long a stop waits at the end of the grace period for responses
 // that have arrived: the process may have been suspended until now.
 const settleTime = 50 * time.Millisecond
@@ -30,7 +34,7 @@
 	h.stopping.Store(true)
 	h.entry.Drain()
 	h.announce()
-	h.refuseLongRequests(plan.RespondBy)
+	h.refuseLongRequests(plan)
 	time.Sleep(time.Until(plan.AcceptUntil))
 	lookups.CloseIdle()
 	h.entry.CloseIdle()
@@ -43,12 +47,14 @@
 	lookups.Wait(time.Until(plan.ExitBy))
 }
 
-// refuseLongRequests refuses the requests that might not complete before the given
-// time: those that wait now, and those that arrive later.
-func (h *Host) refuseLongRequests(respondBy time.Time) {
+// refuseLongRequests refuses the requests that might not complete in the shutdown:
+// those that wait now, and those that arrive later. Once cached lookups have expired,
+// no estimate is relied on.
+func (h *Host) refuseLongRequests(plan drain.Shutdown) {
+	lateFrom := plan.Began.Add(3*lookupTTL - stopSignalDelay)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.deliver(h.scheduler.Stop(time.Now(), respondBy))
+	h.deliver(h.scheduler.Stop(time.Now(), lateFrom, plan.RespondBy))
 }
 
 // stoppingRetryAfter returns the delay after which a caller should send a request
