Plan the end of cached lookups with the rest of a shutdown

Change: pkg/drain decides from when a request is late, with the other times of a shutdown, in place of the host.

Measured: tests of pkg/drain and internal/host pass.

--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -10,13 +10,9 @@
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
-// lookupDrainTime is the time after a stop signal until no caller uses this host
-// any more: the longest use of a cached lookup, plus a margin.
-const lookupDrainTime = 3*lookupTTL + 300*time.Millisecond
-
-// stopSignalDelay bounds the time by which this host sees the stop signal later than
-// it was sent.
-const stopSignalDelay = 200 * time.Millisecond
+// lookupUse is how long callers may use a lookup: some keep it three times as long as
+// its lifetime.
+const lookupUse = 3 * lookupTTL
 
 // settleTime is how long a stop waits at the end of the grace period for responses
 // that have arrived: the process may have been suspended until now.
@@ -29,7 +25,7 @@
 // stop drains the callers. Requests that might not complete in the grace period are
 // refused from the stop signal on, and every accepted request gets a response.
 func (h *Host) stop(lookups *callers.Server) {
-	plan := drain.PlanShutdown(time.Now(), h.bounds().Grace, lookupDrainTime)
+	plan := drain.PlanShutdown(time.Now(), h.bounds().Grace, lookupUse)
 	h.Log.Emit(events.DaemonStopping, events.Host(model.HostID(h.Settings.ID)))
 	h.stopping.Store(true)
 	h.entry.Drain()
@@ -48,13 +44,11 @@
 }
 
 // refuseLongRequests refuses the requests that might not complete in the shutdown:
-// those that wait now, and those that arrive later. Once cached lookups have expired,
-// no estimate is relied on.
+// those that wait now, and those that arrive later.
 func (h *Host) refuseLongRequests(plan drain.Shutdown) {
-	lateFrom := plan.Began.Add(3*lookupTTL - stopSignalDelay)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.deliver(h.scheduler.Stop(time.Now(), lateFrom, plan.RespondBy))
+	h.deliver(h.scheduler.Stop(time.Now(), plan.LateFrom, plan.RespondBy))
 }
 
 // stoppingRetryAfter returns the delay after which a caller should send a request
