Send callers of a stopping host on at once unless many hosts stop

Found by the review: Retry-After was the lifetime of a lookup as soon as one other host of the region left, in a large region nearly always, though a caller that comes back at once rarely meets another leaving host.

Change: callers wait only if more than a quarter of the other hosts of the region are leaving. Lookups are answered until the callers' requests are done, and lookups in transit then get their responses. What the review called dead is gone: a check for overdue jobs that a stopping host never moves, and a result code for a wait that the scheduler ends before; event 1007 is not logged for no request.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -119,7 +119,7 @@
 
 	{RequestsUnfinished, logrus.WarnLevel, "requests-unfinished", fields(FieldHost, FieldCount), "The grace period of a shutdown ended while this many requests had no response. The host answers each of them itself. A request whose body is still arriving does not count."},
 	{PanicRecovered, logrus.ErrorLevel, "panic-recovered", fields(FieldSubject, FieldReason), "A fault of the program ended the handling of one request or message, which is the subject; the process continues. The reason has the place in the source."},
-	{RequestUnfinished, logrus.WarnLevel, "request-unfinished", fields(FieldHost, FieldRequest, FieldServer, FieldElapsed, FieldReason), "A request had no response this long after its arrival when the grace period of a shutdown ended. The host answers it with code 309 if a server has it, or with code 201 if the server is empty. The reason says whether the request arrived before or after the stop signal."},
+	{RequestUnfinished, logrus.WarnLevel, "request-unfinished", fields(FieldHost, FieldRequest, FieldServer, FieldElapsed, FieldReason), "A request had no response this long after its arrival when the grace period of a shutdown ended. The server was granted to it; without one it was waiting. The host answers it with code 309 if it was sent to the server, and as not run otherwise. The reason says whether the request arrived before or after the stop signal."},
 
 	{SettingsReloaded, logrus.InfoLevel, "settings-reloaded", nil, "Changed settings were applied."},
 	{SettingsRefused, logrus.WarnLevel, "settings-refused", fields(FieldReason), "Changed settings, or a part of them, were not applied; the old ones stay active."},
--- a/internal/host/inflight.go
+++ b/internal/host/inflight.go
@@ -16,7 +16,7 @@
 type flight struct {
 	id       string
 	received time.Time
-	// server has the request, or is empty while the request waits for one.
+	// server was granted to the request, or is empty while the request waits for one.
 	server string
 	cancel context.CancelCauseFunc
 }
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -417,11 +417,7 @@
 // assigned to no (further) server.
 func (r *requestState) refusalResponse(ctx context.Context, v scheduler.Verdict) (callers.Response, result.Code) {
 	if ctx.Err() != nil && v.Refused == scheduler.NotRefused {
-		code := result.DeadlineBeforeRun
-		if errors.Is(context.Cause(ctx), errHostStopped) {
-			code = result.Stopping
-		}
-		return r.failureResponse(&attemptFailure{err: context.Cause(ctx), notRun: !r.mayHaveRun, code: code})
+		return r.failureResponse(&attemptFailure{err: context.Cause(ctx), notRun: !r.mayHaveRun, code: result.DeadlineBeforeRun})
 	}
 	codes := map[scheduler.Reason]result.Code{
 		scheduler.NoServer:          result.NoServer,
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -18,6 +18,10 @@
 // that have arrived: the process may have been suspended until now.
 const settleTime = 50 * time.Millisecond
 
+// maxLeavingShare is the share of the other hosts of the region that may be leaving
+// while callers of this one are sent on at once.
+const maxLeavingShare = 0.25
+
 // errHostStopped ends the requests that have no response when the grace period of a
 // shutdown ends.
 var errHostStopped = errors.New("the host was stopped")
@@ -32,9 +36,10 @@
 	h.announce()
 	h.refuseLongRequests(plan)
 	time.Sleep(time.Until(plan.AcceptUntil))
-	lookups.CloseIdle()
 	h.entry.CloseIdle()
-	if !h.entry.Wait(time.Until(plan.RespondBy)) && !h.entry.Wait(settleTime) {
+	drained := h.entry.Wait(time.Until(plan.RespondBy)) || h.entry.Wait(settleTime)
+	lookups.CloseIdle()
+	if !drained {
 		h.logUnfinished(plan.Began)
 		h.inFlight.cancelAll(errHostStopped)
 		h.entry.RefuseUnread()
@@ -52,12 +57,12 @@
 }
 
 // stoppingRetryAfter returns the delay after which a caller should send a request
-// again that this host refuses because it stops: none, unless other hosts that the
-// caller's cached lookup names stop, too.
+// again that this host refuses because it stops: none, unless so many hosts of the
+// region stop that the caller's cached lookup may well name another one of them.
 func (h *Host) stoppingRetryAfter() time.Duration {
 	h.rosterMu.Lock()
 	defer h.rosterMu.Unlock()
-	if h.roster.PeersLeaving(time.Now()) {
+	if h.roster.LeavingShare(time.Now()) > maxLeavingShare {
 		return lookupTTL
 	}
 	return 0
@@ -71,7 +76,9 @@
 		h.Log.Emit(events.RequestUnfinished, events.Host(model.HostID(h.Settings.ID)), events.Request(f.id),
 			events.Server(model.ServerID(f.server)), events.Elapsed(time.Since(f.received)), events.Reason(arrivalReason(f.received.Sub(began))))
 	}
-	h.Log.Emit(events.RequestsUnfinished, events.Host(model.HostID(h.Settings.ID)), events.Count(len(left)))
+	if len(left) > 0 {
+		h.Log.Emit(events.RequestsUnfinished, events.Host(model.HostID(h.Settings.ID)), events.Count(len(left)))
+	}
 }
 
 // arrivalReason says when a request arrived, from the time since the stop signal.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -467,14 +467,20 @@
 	return live
 }
 
-// PeersLeaving reports whether another host of the region is leaving now.
-func (r *Roster) PeersLeaving(now time.Time) bool {
+// LeavingShare returns the share of the other live hosts of the region that are
+// leaving.
+func (r *Roster) LeavingShare(now time.Time) float64 {
+	live, leaving := 0, 0
 	for _, m := range r.members {
-		if m.heartbeat.Region == r.self.heartbeat.Region && m.heartbeat.State == Leaving && r.isLive(now, m) {
-			return true
+		if m.heartbeat.Region != r.self.heartbeat.Region || !r.isLive(now, m) {
+			continue
+		}
+		live++
+		if m.heartbeat.State == Leaving {
+			leaving++
 		}
 	}
-	return false
+	return float64(leaving) / float64(max(live, 1))
 }
 
 // Entries returns up to count ready hosts of a region, spread over its failure
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -170,8 +170,7 @@
 // expected to respond before the deadline.
 func (s *Scheduler) CanStart(now time.Time, job *Job) bool {
 	best, ok := s.best(now, s.service(job.Service), job, nil)
-	return ok && best.server.hasFreeSlot(now, s.service(job.Service).reserved(now, job)) && !now.Add(best.total()).After(job.Deadline) &&
-		s.completesBeforeStop(now, job, best)
+	return ok && best.server.hasFreeSlot(now, s.service(job.Service).reserved(now, job)) && !now.Add(best.total()).After(job.Deadline)
 }
 
 // Cancel removes a waiting job whose request was cancelled.
