host: reserve the memory of a response until it is written

Whole signed responses of 12 MB to callers that do not read made a host exceed its memory: it would be killed, and the requests of all its callers would end.

The memory of a response was released as soon as its body had been read, but the body stayed, with a full copy of it, until it was written: up to 10 s if the caller does not read.

A response now carries its reservation, which covers a long header, too. The connection of the caller releases it when the response is written or dropped; the request releases it if the response is not forwarded: after a resend, a failure or a panic. Releasing twice has no effect. Header and body are written without a copy if the body exceeds 16 KB. As long bodies now hold memory longer, one of a stated length leaves twice its length free, at most a quarter: bodies of 1 MB still fit beside the longest ones.

With a quarter left by every body over 256 KB, TestLongBodiesLeaveMemoryForMediumOnes fails.

The tests of internal/upstream release the responses before they compare the free memory, and check that it is reserved until then.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
 // minGrowBytes is the least by which the memory for a body grows, unless the
@@ -13,11 +14,13 @@
 const minGrowBytes = 64 << 10
 
 // A body whose stated length is up to smallBodyBytes may use the whole budget, any
-// other one only its first minGrowBytes: what it grows by leaves a part of
-// 1/smallShare free. Otherwise bodies without end keep others from being read.
+// other one only its first minGrowBytes: what it grows by leaves restFactor times its
+// stated length free, at most a part of 1/smallShare. Otherwise long bodies, and those
+// without end, keep others from being read.
 const (
 	smallBodyBytes = 256 << 10
 	smallShare     = 4
+	restFactor     = 2
 )
 
 // Errors of ReadAll.
@@ -67,6 +70,27 @@
 	b.free += n
 }
 
+// Hold makes n reserved bytes a reservation of their own.
+func (b *Budget) Hold(n int64) *Reservation {
+	r := &Reservation{budget: b}
+	r.bytes.Store(n)
+	return r
+}
+
+// Reservation is memory of a budget that is kept until Release is called. It is
+// safe for concurrent use. A nil reservation holds nothing.
+type Reservation struct {
+	budget *Budget
+	bytes  atomic.Int64
+}
+
+// Release returns the memory to the budget. Further calls have no effect.
+func (r *Reservation) Release() {
+	if r != nil {
+		r.budget.Release(r.bytes.Swap(0))
+	}
+}
+
 // ReadAll reads to the end within the budget. size is the length of the body, or
 // negative if it is unknown. Without an error, the capacity of the body stays
 // reserved in the budget; with one, nothing does.
@@ -89,8 +113,8 @@
 				grown = size + 1
 			}
 			rest := int64(0)
-			if grown > minGrowBytes && (size < 0 || size > smallBodyBytes) {
-				rest = b.total / smallShare
+			if grown > minGrowBytes {
+				rest = b.restFor(size)
 			}
 			if !b.reserve(grown-int64(cap(body)), rest) {
 				return body, ErrExhausted
@@ -108,6 +132,18 @@
 	}
 }
 
+// restFor returns what a body of the stated size leaves free.
+func (b *Budget) restFor(size int64) int64 {
+	most := b.total / smallShare
+	switch {
+	case size < 0 || size > most:
+		return most
+	case size <= smallBodyBytes:
+		return 0
+	}
+	return min(restFactor*size, most)
+}
+
 // Reader reads up to Left bytes from From and then fails with
 // io.ErrUnexpectedEOF.
 type Reader struct {
--- a/internal/bounded/bounded_test.go
+++ b/internal/bounded/bounded_test.go
@@ -83,3 +83,32 @@
 		}
 	}
 }
+
+// Guards against medium bodies that cannot be read while long ones use what they may.
+func TestLongBodiesLeaveMemoryForMediumOnes(t *testing.T) {
+	const total, medium = 32 << 20, 1 << 20
+	b := New(total)
+	if !b.Reserve(total - total/smallShare) {
+		t.Fatal("the budget is not free")
+	}
+	for range 3 {
+		if _, err := b.ReadAll(bytes.NewReader(make([]byte, medium)), medium, total); err != nil {
+			t.Errorf("a body of %d bytes with %d free: %v", medium, b.Free(), err)
+		}
+	}
+}
+
+// Guards against memory that is free twice because its reservation was released twice.
+func TestReservationIsReleasedOnce(t *testing.T) {
+	b := New(limit)
+	if !b.Reserve(limit) {
+		t.Fatal("the budget is not free")
+	}
+	held := b.Hold(limit / 2)
+	held.Release()
+	held.Release()
+	(*Reservation)(nil).Release()
+	if b.Free() != limit/2 {
+		t.Errorf("%d bytes are free, want %d", b.Free(), limit/2)
+	}
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -23,6 +23,8 @@
 	// writeTimeout ends a connection whose caller does not read its responses.
 	writeTimeout = 10 * time.Second
 	readBuffer   = 4 << 10
+	// maxCopiedBody is the size up to which a body is copied behind its header.
+	maxCopiedBody = 16 << 10
 	// headerSlack allows for the request line, on top of the header limit.
 	headerSlack = 1 << 10
 	// unknownSize is the length given for a chunked body.
@@ -37,6 +39,13 @@
 	last     bool
 }
 
+// dropResponse releases the memory of a response that is written or not needed.
+func (ex *exchange) dropResponse() {
+	memory := ex.response.Memory
+	ex.response = Response{}
+	memory.Release()
+}
+
 // ending is why a connection ends.
 type ending int
 
@@ -404,6 +413,7 @@
 				c.stopReading()
 			}
 		}
+		ex.dropResponse()
 		if c.endRequest() && !done {
 			c.writeContinue()
 		}
@@ -412,7 +422,7 @@
 
 func (c *conn) write(ex *exchange, last bool) error {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	out := make([]byte, 0, 512+len(ex.response.Body))
+	out := make([]byte, 0, 512)
 	out = append(out, "HTTP/1.1 "...)
 	out = strconv.AppendInt(out, int64(ex.response.Status), 10)
 	out = append(out, ' ')
@@ -435,10 +445,15 @@
 		out = append(out, "Connection: close\r\n"...)
 	}
 	out = append(out, "\r\n"...)
-	if hasBody(ex.response.Status) && ex.method != http.MethodHead {
-		out = append(out, ex.response.Body...)
+	body := ex.response.Body
+	if !hasBody(ex.response.Status) || ex.method == http.MethodHead {
+		body = nil
+	}
+	if len(body) <= maxCopiedBody {
+		_, err := c.raw.Write(append(out, body...))
+		return err
 	}
-	_, err := c.raw.Write(out)
+	_, err := (&net.Buffers{out, body}).WriteTo(c.raw)
 	return err
 }
 
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -33,6 +33,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Memory, if set, is reserved for the response. The server releases it when the
+	// response is written or dropped.
+	Memory *bounded.Reservation
 	// Close ends the connection after the response.
 	Close bool
 }
--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -207,6 +207,7 @@
 	if err != nil {
 		return 0, false
 	}
+	defer resp.Memory.Release()
 	report := h.Protocol.DecodeResponse(resp.Status, resp.Header)
 	if report.Server != "" && report.Server != server {
 		return 0, false
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -27,7 +27,7 @@
 	// times as long. It bounds how long a stopping host still receives requests.
 	lookupTTL = time.Second
 	// bodyMemoryShare and responseMemoryShare are the shares of the memory
-	// setting for request bodies and for responses that are being read.
+	// setting for request bodies and for the responses of servers.
 	bodyMemoryShare     = 0.25
 	responseMemoryShare = 0.2
 	// defaultBodyTimeout bounds the time in which a caller has to send a body.
@@ -77,7 +77,7 @@
 	leaving *drain.Servers
 	retries map[string]*retryBudget
 	crashes *crashGuard
-	// responseMemory is the memory for responses that are being read.
+	// responseMemory is the memory for the responses of servers.
 	responseMemory *bounded.Budget
 	splitters      map[string]*splitter
 
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
 	"github.com/wisteriacrank/wisteriacrank/internal/callers"
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
@@ -66,9 +67,11 @@
 	// mayHaveRun is set when a server received the request and did not guarantee
 	// that it did not run.
 	mayHaveRun bool
-	server     string
-	failure    string
-	trace      trace
+	// memory is reserved for the last response of a server.
+	memory  *bounded.Reservation
+	server  string
+	failure string
+	trace   trace
 	// moved is set when an overdue attempt was cancelled to send the request to
 	// another server; the retry is already taken from the retry budget.
 	moved atomic.Bool
@@ -102,6 +105,11 @@
 		r.timeoutAt = limit
 	}
 	r.timeoutAt = r.timeoutAt.Add(-responseMargin)
+	defer func() {
+		if resp.Memory == nil {
+			r.memory.Release()
+		}
+	}()
 	r.service = h.splitterOf(route).next()
 	r.object = r.placedObject()
 	h.retryBudgetOf(r.service).FirstAttempt(req.Received)
@@ -161,6 +169,7 @@
 		if !r.mayResend(ctx, failure) {
 			return r.failureResponse(failure)
 		}
+		r.memory.Release()
 		r.trace.add(events.RequestResent, func() []events.Field {
 			return []events.Field{events.Server(model.ServerID(verdict.Server)), events.Reason(failure.err)}
 		})
@@ -237,6 +246,7 @@
 	if errors.As(err, &f) {
 		return nil, r.handleFailure(ctx, job, f)
 	}
+	r.memory = resp.Memory
 	report := r.host.Protocol.DecodeResponse(resp.Status, resp.Header)
 	r.host.applyServerState(r.server, sentAt, resp, report)
 	return r.handleResponse(job, resp, report)
@@ -369,7 +379,7 @@
 	r.sentAttempts++
 	r.mayHaveRun = true
 	r.recordCompletion()
-	resp := &callers.Response{Status: received.Status, Header: forwardedHeader(received.Header), Body: received.Body}
+	resp := &callers.Response{Status: received.Status, Header: forwardedHeader(received.Header), Body: received.Body, Memory: received.Memory}
 	success := received.Status >= http.StatusOK && received.Status < http.StatusMultipleChoices
 	switch {
 	case received.Header.Get("Content-Encoding") != "", success && !report.Signed:
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -52,10 +52,12 @@
 	base    *bufio.Reader
 	// reader is base, or a larger buffer while a response has a long header.
 	reader *bufio.Reader
-	// memory bounds the responses that are being read.
-	memory   *bounded.Budget
-	written  atomic.Int64
-	useUntil time.Time
+	// memory bounds the responses that are read or in use.
+	memory *bounded.Budget
+	// headerMemory is what a long header has reserved.
+	headerMemory int64
+	written      atomic.Int64
+	useUntil     time.Time
 	// used is set once the connection has carried a request.
 	used bool
 }
@@ -126,8 +128,8 @@
 	if err != nil {
 		return nil, false, c.failure(ctx, wrote, fmt.Errorf("read answer: %w", err))
 	}
-	c.memory.Release(int64(cap(body)))
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, c.isReusable(resp, wrote), nil
+	memory := c.memory.Hold(int64(cap(body)) + c.takeHeaderMemory())
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Memory: memory}, c.isReusable(resp, wrote), nil
 }
 
 // send writes the request. The channel receives the result of the write.
--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -167,6 +167,12 @@
 			if (err == nil) != c.whole || err == nil && string(resp.Body) != lastBody {
 				t.Errorf("%s: %+.100v, %v", name, resp, err)
 			}
+			if resp != nil {
+				if reserved := memory - int(budget.Free()); reserved < cap(resp.Body) || reserved < min(len(c.header)-readBuffer, maxHeaderBytes) {
+					t.Errorf("%s: %d bytes are reserved for the response", name, reserved)
+				}
+				resp.Memory.Release()
+			}
 			if budget.Free() != memory {
 				t.Errorf("%s: %d bytes stay reserved", name, memory-budget.Free())
 			}
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -106,14 +106,21 @@
 	if !c.memory.Reserve(maxHeaderBytes) {
 		return bounded.ErrExhausted
 	}
+	c.headerMemory = maxHeaderBytes
 	c.reader = bufio.NewReaderSize(c.base, maxHeaderBytes)
 	return nil
 }
 
 // shrinkBuffer ends the use of an enlarged buffer. Its unread bytes are lost.
 func (c *conn) shrinkBuffer() {
-	if c.reader != c.base {
-		c.reader = c.base
-		c.memory.Release(maxHeaderBytes)
-	}
+	c.reader = c.base
+	c.memory.Release(c.takeHeaderMemory())
+}
+
+// takeHeaderMemory returns the memory that a long header has reserved, which the
+// caller releases.
+func (c *conn) takeHeaderMemory() int64 {
+	n := c.headerMemory
+	c.headerMemory = 0
+	return n
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -83,11 +83,13 @@
 	Unmarked
 )
 
-// Response is a response with its whole body.
+// Response is a response with its whole body. Its receiver releases Memory once
+// when it no longer uses the header and the body.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	Memory *bounded.Reservation
 }
 
 // Pool keeps the connections to one address. It is safe for concurrent use.
@@ -101,7 +103,7 @@
 }
 
 // NewPool returns a pool without connections. Responses reserve memory from the
-// budget while they are read; pools may share it.
+// budget until they are released; pools may share it.
 func NewPool(address string, memory *bounded.Budget) *Pool {
 	return &Pool{address: address, memory: memory}
 }
--- a/internal/upstream/write_test.go
+++ b/internal/upstream/write_test.go
@@ -127,6 +127,12 @@
 			if c.whole && (err != nil || string(resp.Body) != "own") || !c.whole && (!errors.As(err, &failure) || !failure.Sent) {
 				t.Errorf("%+v, %v", resp, err)
 			}
+			if resp != nil {
+				if reserved := 64<<20 - memory.Free(); reserved != int64(cap(resp.Body)) {
+					t.Errorf("%d bytes are reserved for a capacity of %d", reserved, cap(resp.Body))
+				}
+				resp.Memory.Release()
+			}
 			<-ended
 			if memory.Free() != 64<<20 {
 				t.Errorf("%d bytes stay reserved", 64<<20-memory.Free())
