host: forward the headers of the platform that Connection names

A caller could get a 200 without the server's signature and without the ID of its request, and a server could get a purchase without its ID and its object.

A host removes the headers that the Connection header names. It checked the signature before, so a response whose Connection header names the signature counted as signed and was forwarded without it. Requests lost their ID and their cookie in the same way.

The ID, the signature, the ID of the server and the cookie are now forwarded whatever the Connection header names: callers and servers state them to each other, so that they cannot belong to a single connection. Other headers that it names are still removed.

--- a/internal/host/protocol.go
+++ b/internal/host/protocol.go
@@ -61,6 +61,9 @@
 	// MatchResponse reports whether a response belongs to the request with the ID.
 	MatchResponse(h http.Header, requestID string) upstream.Match
 	DecodeResponse(status int, h http.Header) Report
+	// IsEndToEnd reports whether a header is part of what callers and servers state to
+	// each other, in any case of its name.
+	IsEndToEnd(name string) bool
 	// DecodeLookup reports false for a request that is not a lookup.
 	DecodeLookup(*http.Request) (Lookup, bool)
 	EncodeLookup(addresses []string, ttl time.Duration) (callers.Response, error)
--- a/internal/host/response_memory_test.go
+++ b/internal/host/response_memory_test.go
@@ -43,6 +43,7 @@
 }
 func (wordProtocol) EncodeForward(http.Header, Forward)               {}
 func (wordProtocol) MatchResponse(http.Header, string) upstream.Match { return upstream.Matching }
+func (wordProtocol) IsEndToEnd(string) bool                           { return false }
 func (wordProtocol) DecodeResponse(_ int, h http.Header) Report {
 	word := h.Get("Word")
 	if word == "panic" {
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -317,7 +317,7 @@
 }
 
 func (r *requestState) upstreamRequest(server string) upstream.Request {
-	header := forwardedHeader(r.req.Header)
+	header := r.host.forwardedHeader(r.req.Header)
 	r.host.Protocol.EncodeForward(header, Forward{TimeLeft: time.Until(r.deadline), Server: server})
 	id := r.call.ID
 	return upstream.Request{
@@ -379,7 +379,7 @@
 	r.sentAttempts++
 	r.mayHaveRun = true
 	r.recordCompletion()
-	resp := &callers.Response{Status: received.Status, Header: forwardedHeader(received.Header), Body: received.Body, Memory: received.Memory}
+	resp := &callers.Response{Status: received.Status, Header: r.host.forwardedHeader(received.Header), Body: received.Body, Memory: received.Memory}
 	success := received.Status >= http.StatusOK && received.Status < http.StatusMultipleChoices
 	switch {
 	case received.Header.Get("Content-Encoding") != "", success && !report.Signed:
@@ -508,12 +508,15 @@
 }
 
 // forwardedHeader returns a copy without the headers that apply to a single
-// connection.
-func forwardedHeader(h http.Header) http.Header {
-	copied := h.Clone()
-	for _, named := range h.Values("Connection") {
+// connection. A sender cannot make one of them of a header that the platform defines
+// for the whole path.
+func (h *Host) forwardedHeader(received http.Header) http.Header {
+	copied := received.Clone()
+	for _, named := range received.Values("Connection") {
 		for _, name := range splitList(named) {
-			copied.Del(name)
+			if !h.Protocol.IsEndToEnd(name) {
+				copied.Del(name)
+			}
 		}
 	}
 	for _, name := range connectionHeaders {
