Name why a connection closes, and the choice of the last response, by what they are

Found by the review: a type, a field and variables shared the word ending, and a method that sets state read like a query.

Measured: go test ./internal/callers passes.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -46,12 +46,12 @@
 	memory.Release()
 }
 
-// ending is why a connection ends.
-type ending int
+// closeReason is why a connection ends.
+type closeReason int
 
 const (
 	// callerClosed means that the caller closed the connection.
-	callerClosed ending = iota
+	callerClosed closeReason = iota
 	// idle means that no request was in flight and none arrived in time.
 	idle
 	// afterResponse means that the last response announces the end.
@@ -89,8 +89,8 @@
 	begun bool
 	// continueDue is set while a 100 response waits for earlier responses.
 	continueDue bool
-	// ending is set once a response was chosen to be the last.
-	ending bool
+	// lastChosen is set once a response was chosen to be the last.
+	lastChosen bool
 	// finishBy, if set, is when the wait for a last request ends.
 	finishBy time.Time
 	// awaiting is set while the connection waits for the next request.
@@ -116,21 +116,21 @@
 		defer close(written)
 		c.writeResponses(pending, cancel)
 	}()
-	end := c.readRequests(ctx, pending)
+	reason := c.readRequests(ctx, pending)
 	close(pending)
-	if end == callerClosed {
+	if reason == callerClosed {
 		cancel()
 	}
 	<-written
-	c.close(end)
+	c.close(reason)
 }
 
 // readRequests reads and starts requests until no further one may follow.
-func (c *conn) readRequests(ctx context.Context, pending chan<- *exchange) ending {
+func (c *conn) readRequests(ctx context.Context, pending chan<- *exchange) closeReason {
 	for {
 		limits := c.server.limits()
-		if end, ended := c.awaitRequest(limits); ended {
-			return end
+		if reason, ended := c.awaitRequest(limits); ended {
+			return reason
 		}
 		req, refusal := c.readRequest(limits)
 		if req == nil && refusal == nil {
@@ -220,7 +220,7 @@
 }
 
 // awaitRequest waits for the first byte of the next request.
-func (c *conn) awaitRequest(limits Limits) (end ending, ended bool) {
+func (c *conn) awaitRequest(limits Limits) (reason closeReason, ended bool) {
 	defer c.endAwaiting()
 	for {
 		if !c.beginAwaiting(limits.IdleTimeout) {
@@ -242,7 +242,7 @@
 }
 
 // awaitClose watches for the caller's close while the last request runs.
-func (c *conn) awaitClose(ctx context.Context) ending {
+func (c *conn) awaitClose(ctx context.Context) closeReason {
 	for c.busy() {
 		const step = 5 * time.Second
 		if !c.setReadDeadline(step) {
@@ -402,7 +402,7 @@
 	for ex := range pending {
 		<-ex.ready
 		if !done {
-			last := ex.last || ex.response.Close || c.endWhileDraining()
+			last := ex.last || ex.response.Close || c.chooseLastResponse()
 			if err := c.write(ex, last); err != nil {
 				done = true
 				cancel()
--- a/internal/callers/shutdown.go
+++ b/internal/callers/shutdown.go
@@ -179,13 +179,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun = true
-	return !c.ending
+	return !c.lastChosen
 }
 
-// endWhileDraining reports whether the response that is written next is the last
-// one because the server drains. It is not if another request is in flight or has
-// begun to arrive.
-func (c *conn) endWhileDraining() bool {
+// chooseLastResponse makes the response that is written next the last one if the
+// server drains, and reports whether it is. It is not if another request is in flight
+// or has begun to arrive.
+func (c *conn) chooseLastResponse() bool {
 	if !c.server.draining.Load() {
 		return false
 	}
@@ -194,7 +194,7 @@
 	if c.inFlight > 1 || c.begun || c.hasInput() {
 		return false
 	}
-	c.ending = true
+	c.lastChosen = true
 	return true
 }
 
@@ -231,8 +231,8 @@
 // discarded for at most lingerTimeout, until the caller closes. On an idle
 // connection nothing is read: a request that crosses the close is reset, which
 // tells its caller that it was not read.
-func (c *conn) close(end ending) {
-	if tcp, ok := c.raw.(*net.TCPConn); ok && end == afterResponse {
+func (c *conn) close(reason closeReason) {
+	if tcp, ok := c.raw.(*net.TCPConn); ok && reason == afterResponse {
 		_ = tcp.CloseWrite()
 		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 		_, _ = io.Copy(io.Discard, c.raw)
--- a/internal/callers/shutdown_test.go
+++ b/internal/callers/shutdown_test.go
@@ -412,11 +412,11 @@
 	served := newConn(server, raw)
 	served.beginRequest()
 	server.Drain()
-	if !served.endWhileDraining() {
+	if !served.chooseLastResponse() {
 		t.Fatal("the response is not the last one")
 	}
 	send(t, conn, shortRequest)
-	if end, ended := served.awaitRequest(server.limits()); !ended || end != afterResponse {
-		t.Errorf("end %v, %v; want the end after the response", end, ended)
+	if reason, ended := served.awaitRequest(server.limits()); !ended || reason != afterResponse {
+		t.Errorf("end %v, %v; want the end after the response", reason, ended)
 	}
 }
