Start no class on a stopping host that has completed no run there

Callers of a host that had just started, and of a route with a short target latency, still got 504 for slow reads when it was stopped.

Cause: without a completed run the bound on the next one is three times an estimate that follows from the target latency, and the work may take many times that.

Change: a job of a class without a completed run starts on a stopping host only if its own deadline comes first.

Measured: TestStoppingHostStartsNoClassThatItHasNotSeen fails without it.

--- a/pkg/scheduler/stop.go
+++ b/pkg/scheduler/stop.go
@@ -9,8 +9,8 @@
 	// recentRuns is the number of completed runs of a class whose longest bounds the
 	// next one: an estimate of the mean would cut off every slow run.
 	recentRuns = 64
-	// stopFactor is the ratio of the longest expected run to its estimate while a
-	// class has completed few runs.
+	// stopFactor is the least ratio of the longest expected run to its estimate: a
+	// class may have completed few runs, or a server may be slow.
 	stopFactor = 3
 )
 
@@ -29,10 +29,8 @@
 	h.next = (h.next + 1) % recentRuns
 }
 
+// longest returns the longest of the runs. There has to be one.
 func (h *runHistory) longest() time.Duration {
-	if len(h.took) == 0 {
-		return 0
-	}
 	return slices.Max(h.took)
 }
 
@@ -48,14 +46,15 @@
 
 // completesBeforeStop reports whether a run on the server of the option completes
 // before the host stops, even if it is slow. A job whose deadline comes first loses
-// nothing by the stop.
+// nothing by the stop. Of a class that has completed no run nothing is known.
 func (s *Scheduler) completesBeforeStop(now time.Time, job *Job, o option) bool {
 	if s.stopAt.IsZero() || !job.Deadline.After(s.stopAt) {
 		return true
 	}
-	if job.Received.After(s.lateFrom) {
+	history := &s.class(job).history
+	if job.Received.After(s.lateFrom) || len(history.took) == 0 {
 		return false
 	}
-	run := max(s.class(job).history.longest(), stopFactor*(o.longest-o.wait))
+	run := max(history.longest(), stopFactor*(o.longest-o.wait))
 	return !now.Add(o.wait + run).After(s.stopAt)
 }
--- a/pkg/scheduler/stop_test.go
+++ b/pkg/scheduler/stop_test.go
@@ -58,20 +58,33 @@
 	}
 }
 
-// Guards against slow first runs that a host starts before it has seen one.
+// Guards against slow first runs that a host starts because it has seen few runs.
 func TestStoppingHostAllowsForSlowRunsItHasNotSeen(t *testing.T) {
+	s := stoppingScheduler(t, 100*time.Millisecond)
+	now := start.Add(time.Hour)
+	s.Stop(now, now, now.Add(2*s.class(newJob(now, "new", 0, 0)).cold))
+	job := newJob(now, "new", 0, time.Minute)
+	if verdicts := s.Submit(now, job); len(verdicts) != 1 || verdicts[0].Refused != HostStopping {
+		t.Errorf("%+v with twice the expected time left, want a refusal", verdicts)
+	}
+}
+
+// Guards against runs that are cut because nothing is known of their class.
+func TestStoppingHostStartsNoClassThatItHasNotSeen(t *testing.T) {
 	s := newScheduler(servers(4, 3))
-	job := newJob(start, "a", 0, time.Minute)
-	expected := s.class(job).cold
-	s.Stop(start, start, start.Add(2*expected))
+	s.Stop(start, start, start.Add(time.Minute))
+	job := newJob(start, "a", 0, time.Hour)
 	if verdicts := s.Submit(start, job); len(verdicts) != 1 || verdicts[0].Refused != HostStopping {
-		t.Errorf("%+v with twice the expected time left, want a refusal", verdicts)
+		t.Errorf("%+v, want a refusal", verdicts)
 	}
 }
 
 // Guards against jobs that wait for a server until the host stops.
 func TestWaitingJobsAreRefusedOnceTheyCannotComplete(t *testing.T) {
 	s := newScheduler(servers(1, 1))
+	first := newJob(start, "a", 0, time.Minute)
+	s.Submit(start, first)
+	s.Done(start.Add(100*time.Millisecond), first, Succeeded, nil)
 	running, waiting := newJob(start, "a", 0, time.Minute), newJob(start, "a", 0, time.Minute)
 	s.Submit(start, running)
 	if verdicts := s.Submit(start, waiting); len(verdicts) != 0 {
