Leave a quarter of a second for the exit of a stopping host

Cause: a stop may wait for callers to read the last responses until 0.1 s before the kill. The exit then closes the log, which alone may take 0.2 s. One of 995 stops of the soak ended by the kill; its logs are gone, so that this was the cause is suspected only.

Change: 0.25 s are left.

--- a/pkg/drain/shutdown.go
+++ b/pkg/drain/shutdown.go
@@ -7,7 +7,7 @@
 	// last responses and for the exit.
 	responseMargin = 700 * time.Millisecond
 	// exitMargin is the part of responseMargin that is left for the exit.
-	exitMargin = 100 * time.Millisecond
+	exitMargin = 250 * time.Millisecond
 	// maxResponseShare bounds responseMargin, so that a short grace period leaves time
 	// to complete requests.
 	maxResponseShare = 0.125
