--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -58,6 +58,7 @@
 	service   string
 	version   uint64
 	object    placement.Object
+	// received is when the body was whole; req.Received is when the header was.
 	received  time.Time
 	deadline  time.Time
 	timeoutAt time.Time
