--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -51,13 +51,13 @@
 
 // requestState is the state of one request of a caller.
 type requestState struct {
-	host      *Host
-	req       *callers.Request
-	call      Call
-	route     *fleet.Route
-	service   string
-	version   uint64
-	object    placement.Object
+	host    *Host
+	req     *callers.Request
+	call    Call
+	route   *fleet.Route
+	service string
+	version uint64
+	object  placement.Object
 	// received is when the body was whole; req.Received is when the header was.
 	received  time.Time
 	deadline  time.Time
