Let a stopping host complete what may have run already

Callers got 502 for a slow read although a server could have answered it.

Cause: an overdue read was cancelled at its server to be sent to another one, waited for a slot there, and the stop signal came 70 ms later.

Change: a job that may have run is not refused by a stop.

Measured: TestResentJobIsNotRefusedBecauseTheHostStops fails without it.

--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -180,16 +180,17 @@
 
 func (r *requestState) job() *scheduler.Job {
 	return &scheduler.Job{
-		Class:    r.route.Name,
-		Service:  r.service,
-		Object:   r.object,
-		Sticky:   r.route.Sticky && r.call.Object != "",
-		Priority: r.route.Priority,
-		Target:   r.route.TargetLatency,
-		Received: r.received,
-		TargetAt: r.req.Received.Add(r.route.TargetLatency),
-		Deadline: r.timeoutAt,
-		Tried:    slices.Clone(r.tried),
+		Class:      r.route.Name,
+		Service:    r.service,
+		Object:     r.object,
+		Sticky:     r.route.Sticky && r.call.Object != "",
+		Priority:   r.route.Priority,
+		Target:     r.route.TargetLatency,
+		Received:   r.received,
+		TargetAt:   r.req.Received.Add(r.route.TargetLatency),
+		Deadline:   r.timeoutAt,
+		MayHaveRun: r.mayHaveRun,
+		Tried:      slices.Clone(r.tried),
 	}
 }
 
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -55,6 +55,9 @@
 	// no longer useful.
 	TargetAt time.Time
 	Deadline time.Time
+	// MayHaveRun is set if a server may have run the request, which then cannot be
+	// refused as not run.
+	MayHaveRun bool
 	// Tried are the servers that the request was already sent to.
 	Tried []string
 
--- a/pkg/scheduler/stop.go
+++ b/pkg/scheduler/stop.go
@@ -46,9 +46,10 @@
 
 // completesBeforeStop reports whether a run on the server of the option completes
 // before the host stops, even if it is slow. A job whose deadline comes first loses
-// nothing by the stop. Of a class that has completed no run nothing is known.
+// nothing by the stop, and one that may have run gains nothing by a refusal. Of a
+// class that has completed no run nothing is known.
 func (s *Scheduler) completesBeforeStop(now time.Time, job *Job, o option) bool {
-	if s.stopAt.IsZero() || !job.Deadline.After(s.stopAt) {
+	if s.stopAt.IsZero() || job.MayHaveRun || !job.Deadline.After(s.stopAt) {
 		return true
 	}
 	history := &s.class(job).history
--- a/pkg/scheduler/stop_test.go
+++ b/pkg/scheduler/stop_test.go
@@ -58,6 +58,18 @@
 	}
 }
 
+// Guards against the failure of a request whose first run was cancelled to be moved.
+func TestResentJobIsNotRefusedBecauseTheHostStops(t *testing.T) {
+	s := stoppingScheduler(t, 4*time.Second)
+	now := start.Add(time.Hour)
+	s.Stop(now, now, now.Add(5*time.Second))
+	job := newJob(now, "moved", 0, time.Minute)
+	job.MayHaveRun = true
+	if granted(s.Submit(now, job), job) == "" {
+		t.Error("a job that may have run was refused")
+	}
+}
+
 // Guards against slow first runs that a host starts because it has seen few runs.
 func TestStoppingHostAllowsForSlowRunsItHasNotSeen(t *testing.T) {
 	s := stoppingScheduler(t, 100*time.Millisecond)
