--- a/review/.cases2/main.go
+++ b/review/.cases2/main.go
@@ -10,7 +10,8 @@
 type caseFunc func(rec *record, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
-	"drain": drainAfterOutage,
+	"drain":   drainAfterOutage,
+	"early":   uploadAnsweredEarly,
 }
 
 const (
