--- a/review/.cases2/main.go
+++ b/review/.cases2/main.go
@@ -10,8 +10,8 @@
 type caseFunc func(rec *record, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
-	"drain": drainAfterOutage,
-	"early": uploadAnsweredEarly,
+	"early":   uploadAnsweredEarly,
+	"smuggle": smuggledInBody,
 }
 
 const (
--- a/review/.cases2/smuggle.go
+++ b/review/.cases2/smuggle.go
@@ -60,3 +60,10 @@
 	}
 	return len(visits.of(inner)) > 0, nil
 }
+
+// shopConfig has a safe and an unsafe route to one service.
+const shopConfig = `{"version":"r7","routes":[
+{"name":"r-read","host":"shop.example","path-prefix":"/read/","kind":"safe","timeout-ms":2000,"target-latency-ms":250,"priority":0,"service":"desk","max-attempts":2,"sticky":true,"home-regions":[]},
+{"name":"r-buy","host":"shop.example","path-prefix":"/buy/","kind":"unsafe","timeout-ms":2500,"target-latency-ms":300,"priority":1,"service":"desk","max-attempts":2,"sticky":true,"home-regions":[]}],
+"services":[{"name":"desk","health-path":"/health","max-conns":660,"protocol":"h1","tls":false,"cold-start-s":3.0,"cold-per-s":6.9}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000}}`
