--- a/review/.cases2/fleet.go
+++ b/review/.cases2/fleet.go
@@ -4,7 +4,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -224,11 +223,6 @@
 	return nil
 }
 
-func (h *host) signal(s syscall.Signal) {
-	h.fleet.record.add("host %s gets %v", h.id, s)
-	_ = h.cmd.Process.Signal(s)
-}
-
 // running reports whether the process hasn't ended.
 func (h *host) running() bool {
 	select {
@@ -247,11 +241,7 @@
 			<-h.exited
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(f.folder)
-	} else {
-		fmt.Fprintln(os.Stderr, "logs:", f.folder)
-	}
+	_ = os.RemoveAll(f.folder)
 }
 
 // visit is a request that reached a server.
@@ -307,7 +297,6 @@
 	free              chan struct{}
 	running, waiting  atomic.Int32
 	work              func(*http.Request) time.Duration
-	leaving           atomic.Bool
 }
 
 func newBackend(rec *record, l *ledger, id, service, zone string, slots int, work func(*http.Request) time.Duration) (*backend, error) {
@@ -323,12 +312,6 @@
 
 func (b *backend) address() string { return b.listener.Addr().String() }
 
-// exit ends the server: it closes its listener and all connections.
-func (b *backend) exit() {
-	b.record.add("server %s exits", b.id)
-	_ = b.server.Close()
-}
-
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -338,9 +321,6 @@
 	w.Header().Set("X-Instance-Id", b.id)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", b.running.Load(), b.waiting.Load(), b.slots))
 	if r.Method == http.MethodGet && r.URL.Path == "/health" {
-		if b.leaving.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
 		return
 	}
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != b.id {
@@ -403,21 +383,6 @@
 // newID returns the ID of a client attempt.
 func newID() string { return fmt.Sprintf("%08x%06d", rand.Uint32(), attempts.Add(1)) }
 
-// resolve asks the directory of a host where to connect.
-func (h *host) resolve(name, zone string) ([]string, error) {
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get(fmt.Sprintf("http://%s/wisteriacrank/resolve?name=%s&region=%s&zone=%s", h.at(h.ports.directory), name, region(zone), zone))
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	var found struct {
-		Addresses []string `json:"addresses"`
-	}
-	err = json.NewDecoder(resp.Body).Decode(&found)
-	return found.Addresses, err
-}
-
 // send sends one client attempt on a connection of its own.
 func (f *fleet) send(address, method, path, id, object, body string, limit time.Duration) reply {
 	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
--- a/review/.cases2/store.go
+++ b/review/.cases2/store.go
@@ -22,12 +22,7 @@
 	revision uint64
 	objects  map[string]map[string]*object
 	history  []change
-	oldest   uint64 // history up to here is gone
 	changed  chan struct{}
-	down     bool
-	conns    map[net.Conn]struct{}
-	// intercept handles a call instead of the store if it returns true.
-	intercept func(w http.ResponseWriter, r *http.Request) bool
 }
 
 type metadata struct {
@@ -54,53 +49,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{listener: l, revision: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{}), conns: map[net.Conn]struct{}{}}
-	server := &http.Server{Handler: http.HandlerFunc(s.serve), ConnState: s.track}
+	s := &store{listener: l, revision: 100, objects: map[string]map[string]*object{}, changed: make(chan struct{})}
+	server := &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go server.Serve(l)
 	return s, nil
 }
 
 func (s *store) address() string { return s.listener.Addr().String() }
 
-func (s *store) track(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		s.conns[c] = struct{}{}
-		if s.down {
-			reset(c)
-		}
-	case http.StateClosed, http.StateHijacked:
-		delete(s.conns, c)
-	}
-}
-
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
-// setDown makes the store reset all connections, open and new, until it is up again.
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	if down {
-		for c := range s.conns {
-			reset(c)
-		}
-	}
-}
-
-func (s *store) setIntercept(f func(http.ResponseWriter, *http.Request) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.intercept = f
-}
-
 // put writes an object as the operator or a server does.
 func (s *store) put(kind, name, spec string) uint64 {
 	s.mu.Lock()
@@ -108,12 +64,6 @@
 	return s.write(kind, name, json.RawMessage(spec), false)
 }
 
-func (s *store) remove(kind, name string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.write(kind, name, nil, true)
-}
-
 func (s *store) write(kind, name string, spec json.RawMessage, deleted bool) uint64 {
 	s.revision++
 	of := s.objects[kind]
@@ -140,13 +90,7 @@
 }
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	intercept := s.intercept
-	s.mu.Unlock()
 	time.Sleep(4 * time.Millisecond) // the store's usual time for an answer
-	if intercept != nil && intercept(w, r) {
-		return
-	}
 	rest, ok := strings.CutPrefix(r.URL.Path, "/wisteriacrank/objects/")
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -215,10 +159,10 @@
 				events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
 			}
 		}
-		gone, revision, changed := after < s.oldest, s.revision, s.changed
+		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		ended := false
-		if !gone && len(events) == 0 {
+		if len(events) == 0 {
 			select {
 			case <-changed:
 				continue
@@ -228,10 +172,6 @@
 				return
 			}
 		}
-		if gone {
-			answer(w, http.StatusGone, map[string]any{})
-			return
-		}
 		if len(events) > 0 || ended {
 			answer(w, http.StatusOK, map[string]any{"events": events, "store-revision": revision})
 			return
