--- a/review/.cases2/fleet.go
+++ b/review/.cases2/fleet.go
@@ -297,6 +297,8 @@
 	free              chan struct{}
 	running, waiting  atomic.Int32
 	work              func(*http.Request) time.Duration
+	// losesAnswer, if not nil, says whether the answer to a run is lost.
+	losesAnswer func() bool
 }
 
 func newBackend(rec *record, l *ledger, id, service, zone string, slots int, work func(*http.Request) time.Duration) (*backend, error) {
@@ -357,11 +359,26 @@
 		return
 	}
 	b.ledger.update(func() { v.ended, v.completedStatus = time.Now(), http.StatusOK })
+	if b.losesAnswer != nil && b.losesAnswer() {
+		b.record.add("request %s has run at %s, and its answer is lost", id, b.id)
+		reset(w)
+		return
+	}
 	w.Header().Set("X-Response-Signature", "sig."+id)
 	text := fmt.Sprintf("answer of %s to %s (%d bytes)", b.id, id, len(body))
 	_, _ = io.WriteString(w, text)
 }
 
+// reset resets the connection of a request.
+func reset(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
 // reply is what a client got.
 type reply struct {
 	status    int
--- a/review/.cases2/main.go
+++ b/review/.cases2/main.go
@@ -11,6 +11,7 @@
 
 var cases = map[string]caseFunc{
 	"early":   uploadAnsweredEarly,
+	"prefix":  encodedSlash,
 	"smuggle": smuggledInBody,
 }
 
