upstream: a response that is reset during the upload is not whole

Callers got a part of a body as a complete 200: a server answered a long upload at once with a response without length, sent part of it and reset the connection while the upload was still being written.

Cause: the end of such a body is the end of its connection, and a reset was told from a close by the error of the read. The kernel returns the error of a connection only once. Long requests are written while the response is read, so the write got ECONNRESET, and the read found the same end as after a close. The same held for a peer that no longer acknowledges (ETIMEDOUT), and for a short request whose write fails in the middle.

Change: when a response without length has ended, the write of the request is ended, too, and its error is looked at. Without an error of the connection the server has closed its side, so an early response that is whole still passes: the write was done, was still waiting, or failed with EPIPE, which Linux reports for a reset after a close. Responses with a length or in chunks show their own end and are not affected. internal/backend refuses responses without length; the store's clients decode JSON, which does not parse when cut.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -124,7 +125,7 @@
 	if err != nil {
 		return nil, false, c.failure(ctx, wrote, err)
 	}
-	body, err := c.memory.ReadAll(resp.Body, resp.ContentLength, maxResponseBytes)
+	body, err := c.readBody(resp, wrote)
 	if err != nil {
 		return nil, false, c.failure(ctx, wrote, fmt.Errorf("read answer: %w", err))
 	}
@@ -201,6 +202,46 @@
 	}
 }
 
+// readBody reads the whole body of the response. The capacity of what it returns is
+// reserved in the memory for responses.
+func (c *conn) readBody(resp *http.Response, wrote chan error) ([]byte, error) {
+	body, err := c.memory.ReadAll(resp.Body, resp.ContentLength, maxResponseBytes)
+	if err != nil || !endsWithConnection(resp) {
+		return body, err
+	}
+	if err := c.lossDuringWrite(wrote); err != nil {
+		c.memory.Release(int64(cap(body)))
+		return nil, err
+	}
+	return body, nil
+}
+
+// endsWithConnection reports whether only the end of the connection shows where the
+// body of the response ends.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// lossDuringWrite ends the write of the request once a read has found the end of the
+// connection. It returns the error if the connection was reset or its peer was lost,
+// and nil if the server closed it. The kernel returns the error of a connection only
+// once: if the write gets it, reads find the same end as after a close.
+func (c *conn) lossDuringWrite(wrote chan error) error {
+	var err error
+	select {
+	case err = <-wrote:
+	default:
+		_ = c.raw.SetDeadline(time.Unix(1, 0))
+		err = <-wrote
+	}
+	wrote <- err
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		// The write was not done, or the reset followed the close.
+		return nil
+	}
+	return err
+}
+
 // failure closes the connection and returns the failure of its request.
 func (c *conn) failure(ctx context.Context, wrote <-chan error, err error) *Failure {
 	// The number of bytes that the kernel accepted is known once the write ended.
