upstream: refuse a header line with a space before its name

Callers got a 200 whose X-Response-Signature was "proof Content-Length: 1200", with a body that ended with the connection: a line that begins with a space or a tab continues the value of the line before it, so a field with a space before its name changed that value, and a length or an encoding in it was overlooked.

Cause: HTTP/1.1 has obsoleted such folded lines but the parser accepts them, and nothing shows whether a line with a colon is a value's rest or a field of its own.

Change: a folded line with a colon is refused; RFC 9112, 5.2, lets a gateway refuse all of them. Folded lines without a colon are accepted as before.

--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -116,6 +116,7 @@
 		"encoding, length, HTTP/1.0": old + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
 		"version 2":                  strings.Replace(signedHead, "1.1", "2.0", 1) + "\r\n" + lastBody,
 		"version 0":                  strings.Replace(signedHead, "1.1", "0.9", 1) + "\r\n" + lastBody,
+		"status 000":                 strings.Replace(signedHead, "200", "000", 1) + "Content-Length: 12\r\n\r\n" + lastBody,
 		"status below 100":           strings.Replace(signedHead, "200", "099", 1) + "\r\n" + signedHead + "Content-Length: 12\r\n\r\n" + lastBody,
 		"signed status":              strings.Replace(signedHead, "200", "+20", 1) + "\r\n" + signedHead + "Content-Length: 12\r\n\r\n" + lastBody,
 		"chunk size is no number":    signedHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\nxy\r\n0\r\n\r\n",
@@ -129,6 +130,37 @@
 	}
 }
 
+// Guards against a header line whose name is not valid, and which is forwarded or
+// overlooked although another recipient takes it for the length.
+func TestInvalidHeaderNameIsAFailure(t *testing.T) {
+	invalid := []byte("\x7f\x80\xff ()<>@,;\\\"/[]?={}")
+	for c := byte(0); c < ' '; c++ {
+		invalid = append(invalid, c)
+	}
+	lines := []string{": 1200"}
+	for _, c := range invalid {
+		for _, name := range []string{"%sContent-Length", "Content%sLength", "Content-Length%s", "%s"} {
+			if line := strings.Replace(name, "%s", string([]byte{c}), 1) + ": 1200"; !strings.HasPrefix(line, "\n") {
+				lines = append(lines, line)
+			}
+		}
+	}
+	for _, line := range lines {
+		for where, text := range map[string]string{
+			"first": strings.Replace(signedHead, "\r\n", "\r\n"+line+"\r\n", 1),
+			"last":  signedHead + line + "\r\n",
+		} {
+			for framing, rest := range map[string]string{"none": "\r\n", "length": "Content-Length: 12\r\n\r\n"} {
+				resp, err := exchangeUntil(text+rest+lastBody, io.EOF, false)
+				var failure *Failure
+				if !errors.As(err, &failure) || !failure.Sent {
+					t.Errorf("%q as the %s line, framing %s: %+v, %v; want a failure", line, where, framing, resp, err)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a lost connection that is counted as an invalid response.
 func TestConnectionThatEndsWithoutAByteIsNoInvalidResponse(t *testing.T) {
 	for how, end := range endings {
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -87,13 +87,20 @@
 // whether the line ends the header.
 func checkLine(line []byte, n int) (ended bool, err error) {
 	line = bytes.TrimSuffix(line, []byte("\r"))
-	switch {
-	case len(line) == 0:
+	if len(line) == 0 {
 		return true, nil
+	}
+	folded := line[0] == ' ' || line[0] == '\t'
+	colon := bytes.Contains(line, []byte(":"))
+	switch {
 	case n >= maxHeaderLines:
 		return false, errors.New("too many header lines")
-	case n > 0 && line[0] != ' ' && line[0] != '\t' && !bytes.Contains(line, []byte(":")):
+	case n > 0 && !folded && !colon:
 		return false, errors.New("header line without a colon")
+	case n > 0 && folded && colon:
+		// It continues the value before it, or is a field of its own with a space
+		// before its name, such as the length.
+		return false, errors.New("folded header line with a colon")
 	}
 	return false, nil
 }
