entry: a response with an invalid status is an unknown outcome

A backend server's response with status 000 counted as served in wisteria-entry: its caller got a closed connection instead of a result, and so did each resend with the same ID. A 101, which nobody had asked for, was passed on.

Cause: the HTTP library reads any three digits as a status. The dispatcher kept it, the owner recorded it, and writing it panicked, which ends the connection.

Change: a status outside 200 to 999 is answer-truncated (304, 502 to the caller), in the dispatcher and, for a dispatcher that does not check it yet, in the owner. Other three-digit statuses are passed on as before.

--- a/internal/backend/head_test.go
+++ b/internal/backend/head_test.go
@@ -50,3 +50,14 @@
 		t.Errorf("a head of %d bytes: %v, want an unknown outcome", len(head+padding), got.Code)
 	}
 }
+
+// Guards against a response that is passed on although its status is not that of a
+// final response.
+func TestInvalidStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"000 ", "000 OK", "099 OK", "+20 OK", "101 Switching Protocols"} {
+		response := "HTTP/1.1 " + status + "\r\n" + HeaderRequestID + ": x\r\nContent-Length: 2\r\n\r\nok"
+		if got := respondRaw(t, response).Do(t.Context(), request("x", true), long); got.Code != result.AnswerTruncated || got.Body != nil {
+			t.Errorf("status %q: %+v, want %v", status, got, result.AnswerTruncated)
+		}
+	}
+}
--- a/internal/backend/roundtrip.go
+++ b/internal/backend/roundtrip.go
@@ -39,7 +39,7 @@
 		return s.failureOutcome(ctx, conn, before, result.ConnectionLost, err), false
 	}
 	defer resp.Body.Close()
-	body, err := readBody(resp)
+	body, err := readResponse(resp)
 	if err != nil {
 		return s.failureOutcome(ctx, conn, before, result.AnswerTruncated, err), false
 	}
@@ -66,9 +66,20 @@
 	return Outcome{Code: code, Detail: err.Error()}
 }
 
-// readBody reads the body to its declared end. It refuses a response that ends
-// with its connection, because a truncation could not be detected.
-func readBody(resp *http.Response) ([]byte, error) {
+// IsFinalStatus reports whether a status is one that a final response can have. The
+// HTTP library reads any three digits as a status, and 101 as final.
+func IsFinalStatus(status int) bool {
+	const maxStatus = 999
+	return status >= http.StatusOK && status <= maxStatus
+}
+
+// readResponse reads the body to its declared end. It refuses a response that ends
+// with its connection, because a truncation could not be detected, and one without
+// a valid status.
+func readResponse(resp *http.Response) ([]byte, error) {
+	if !IsFinalStatus(resp.StatusCode) {
+		return nil, fmt.Errorf("status %q", resp.Status)
+	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, errors.New("response without a declared length")
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -3,8 +3,10 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/wisteriacrank/wisteriacrank/internal/backend"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/balance"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
@@ -121,7 +123,11 @@
 		return Response{RequestID: req.ID, Code: result.AnswerTruncated, Detail: "reply is incomplete or belongs to another request"}
 	}
 	switch class := result.Code(m.Code).Class(); class {
-	case result.ClassServed, result.ClassNotRun, result.ClassUnknown:
+	case result.ClassServed:
+		if !backend.IsFinalStatus(int(m.BackendStatus)) {
+			return Response{RequestID: req.ID, Code: result.AnswerTruncated, Detail: fmt.Sprintf("reply has status %d", m.BackendStatus)}
+		}
+	case result.ClassNotRun, result.ClassUnknown:
 	default:
 		return Response{RequestID: req.ID, Code: result.AnswerTruncated, Detail: "reply has a code of class " + class.String()}
 	}
--- a/internal/standin/responses.go
+++ b/internal/standin/responses.go
@@ -17,6 +17,8 @@
 	ResponseMismatched ResponseFault = "crossed"
 	// ResponseDuplicated writes the response twice on the connection.
 	ResponseDuplicated ResponseFault = "duplicated"
+	// ResponseInvalidStatus sends a whole response whose status is 000.
+	ResponseInvalidStatus ResponseFault = "invalid-status"
 	// ResponseLost closes the connection after the run, without a response.
 	ResponseLost ResponseFault = "lost"
 	// RequestDropped closes the connection without running the request.
@@ -33,6 +35,13 @@
 		id = otherID
 	}
 	response := ResponseBody(b.cfg.Name, id, r.URL.Path, body)
+	if faults.Response == ResponseInvalidStatus {
+		// The HTTP library refuses to write such a status.
+		if conn := connOf(r); conn != nil {
+			fmt.Fprintf(conn, "HTTP/1.1 000 \r\nWisteria-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(response), response)
+		}
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Wisteria-Request-Id", id)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", fmt.Sprint(len(response)))
