backend: refuse responses with an invalid header line

A caller of wisteria-entry got a 200 with another body than the server's: with "Transfer-Encoding : chunked" beside a length, the framing of the chunks was taken for the body, cut off at that length. A line with a space before its name became part of the Content-Type that callers got.

Cause: the same as in internal/upstream. The HTTP library accepts names with a space and folded lines, and ignores a transfer encoding in HTTP/1.0. Only internal/upstream checked for that.

Change: the checks of internal/upstream are in internal/responsehead, line by line, and internal/backend applies them to the bytes that the library reads from the connection, because a folded line can no longer be told once it is parsed. A connection with such a response ends and the outcome of the request is unknown (300, 502 to the caller).

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -95,3 +95,9 @@
 	}
 	return c.fire(eventSend, now)
 }
+
+// exchange sends a request and reads its response up to the body.
+func (c *connection) exchange(req *http.Request) (*http.Response, error) {
+	c.raw.expectResponse()
+	return c.http.RoundTrip(req)
+}
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/livedial"
+	"github.com/wisteriacrank/wisteriacrank/internal/responsehead"
 )
 
 const (
@@ -23,13 +24,36 @@
 var errSealed = errors.New("connection is abandoned")
 
 // trackedConn counts the bytes that the kernel accepted, so that a failed
-// request with no byte written is known not to have run. It is safe for
-// concurrent use.
+// request with no byte written is known not to have run, and checks the heads of
+// responses. It is safe for concurrent use.
 type trackedConn struct {
 	net.Conn
 	mu      sync.Mutex
 	sealed  bool
 	written int64
+
+	// headsMu is not mu, which is held while a write waits.
+	headsMu sync.Mutex
+	heads   responsehead.Scanner
+}
+
+// expectResponse makes the next bytes that are read those of a response.
+func (c *trackedConn) expectResponse() {
+	c.headsMu.Lock()
+	defer c.headsMu.Unlock()
+	c.heads.Expect()
+}
+
+// Read implements net.Conn. It fails if a head is not valid, before the HTTP library
+// has all of it.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.headsMu.Lock()
+	defer c.headsMu.Unlock()
+	if invalid := c.heads.Scan(p[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
--- a/internal/backend/head_test.go
+++ b/internal/backend/head_test.go
@@ -61,3 +61,30 @@
 		}
 	}
 }
+
+// Guards against a response that is passed on although the name of one of its header
+// lines is not valid, so that another recipient finds the end of the body elsewhere.
+func TestInvalidHeadIsNotPassedOn(t *testing.T) {
+	const informational = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+	head := "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": x\r\nContent-Type: text/plain\r\n"
+	const rest = "Content-Length: 2\r\n\r\nok"
+	for _, sound := range []string{head + rest, informational + head + rest, head + "Folded: a\r\n b\r\n" + rest} {
+		if got := respondRaw(t, sound).Do(t.Context(), request("x", true), long); got.Code != result.Served || string(got.Body) != "ok" || got.ContentType != "text/plain" {
+			t.Errorf("%q: %+v", sound, got)
+		}
+	}
+	for _, line := range []string{
+		"X More: a", "X-More : a", " X-More: a", "\tX-More: a", "X\x00More: a", "X\x7fMore: a", ": a",
+		"Transfer-Encoding : chunked", " Transfer-Encoding: chunked", "Transfer-Encoding\t: chunked",
+	} {
+		for _, text := range []string{head + line + "\r\n" + rest, informational + head + line + "\r\n" + rest, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n\r\n" + head + rest} {
+			if got := respondRaw(t, text).Do(t.Context(), request("x", true), long); got.Code.Class() != result.ClassUnknown || got.Body != nil {
+				t.Errorf("%q: %+v, want an unknown outcome", text, got)
+			}
+		}
+	}
+	chunksInOldVersion := strings.Replace(head, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n" + rest
+	if got := respondRaw(t, chunksInOldVersion).Do(t.Context(), request("x", true), long); got.Code.Class() != result.ClassUnknown {
+		t.Errorf("%q: %+v, want an unknown outcome", chunksInOldVersion, got)
+	}
+}
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -125,7 +125,7 @@
 	if !conn.fire(eventProbe, time.Now()) {
 		return fmt.Errorf("connection to %s is %s", s.spec.Name, conn.machine.State())
 	}
-	resp, err := conn.http.RoundTrip(req)
+	resp, err := conn.exchange(req)
 	if err != nil {
 		return fmt.Errorf("get %s%s: %w", s.spec.Name, path, err)
 	}
--- a/internal/backend/roundtrip.go
+++ b/internal/backend/roundtrip.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return Outcome{Code: result.BadRequest, Detail: err.Error()}, false
 	}
-	resp, err := conn.http.RoundTrip(httpReq)
+	resp, err := conn.exchange(httpReq)
 	if err != nil {
 		return s.failureOutcome(ctx, conn, before, result.ConnectionLost, err), false
 	}
--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/bounded"
+	"github.com/wisteriacrank/wisteriacrank/internal/responsehead"
 )
 
 const (
@@ -186,8 +187,8 @@
 		whole  bool
 	}{
 		"long line":     {"Long: " + strings.Repeat("x", allowed) + "\r\n", true},
-		"many lines":    {strings.Repeat("Line: x\r\n", maxHeaderLines-5), true},
-		"too many":      {strings.Repeat("L:\r\n", maxHeaderLines), false},
+		"many lines":    {strings.Repeat("Line: x\r\n", responsehead.MaxLines-5), true},
+		"too many":      {strings.Repeat("L:\r\n", responsehead.MaxLines), false},
 		"too long":      {"Long: " + strings.Repeat("x", maxHeaderBytes) + "\r\n", false},
 		"without colon": {"Line\r\n", false},
 	} {
