--- a/internal/upstream/early_test.go
+++ b/internal/upstream/early_test.go
@@ -147,6 +147,7 @@
 		whole    bool
 	}{
 		"no length, reset":              {signedHead + "\r\n" + lastBody, reset, false},
+		"no length, request not read":   {signedHead + "\r\n" + lastBody, func(conn *net.TCPConn) { _ = conn.Close() }, false},
 		"no length, closed":             {signedHead + "\r\n" + lastBody, func(conn *net.TCPConn) { closeSide(t, conn) }, true},
 		"no length, closed, reads on":   {signedHead + "\r\n" + lastBody, func(conn *net.TCPConn) { closeSide(t, conn); _, _ = io.Copy(io.Discard, conn) }, true},
 		"no length, closed, then reset": {signedHead + "\r\n" + lastBody, func(conn *net.TCPConn) { closeSide(t, conn); reset(conn) }, true},
