Comments of the fixes for broken answers

Read as a newcomer would: when lossDuringWrite is called and why Linux's EPIPE is no loss, what responsehead protects from, that a Scanner bounds no line. No change of behaviour: the tests of upstream, responsehead, backend and entry pass (entry with -race, FuzzResponse for 20 s).

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -1,7 +1,7 @@
-// Package responsehead checks the status line and the header lines of HTTP/1
-// responses. net/http accepts lines that another recipient reads differently: one
-// that is a length or a transfer encoding to one of the two hides the end of the body
-// from the other.
+// Package responsehead checks the heads of HTTP/1 responses: the status line and the
+// header lines. net/http accepts lines that other recipients read differently. If one
+// of the two takes such a line for a length or a transfer encoding and the other does
+// not, they find different ends of the body.
 package responsehead
 
 import (
@@ -64,8 +64,8 @@
 	folded := line[0] == ' ' || line[0] == '\t'
 	switch {
 	case folded && colon:
-		// It continues the value before it, or is a field of its own with a space
-		// before its name, such as the length.
+		// It continues the value before it, or is a field of its own, such as the
+		// length, with a space before its name.
 		return errors.New("folded header line with a colon")
 	case folded:
 		return nil
@@ -93,8 +93,8 @@
 	return len(name) > 0
 }
 
-// Scanner checks the heads in the bytes that are read from a connection. The zero
-// value expects none.
+// Scanner checks the heads in the bytes that are read from a connection. It does not
+// bound the length of a line. The zero value expects no head.
 type Scanner struct {
 	expecting bool
 	head      Head
@@ -109,9 +109,9 @@
 // Scan checks the next bytes. Those behind the final head are ignored.
 func (s *Scanner) Scan(p []byte) error {
 	for s.expecting {
-		rest, after, whole := bytes.Cut(p, []byte("\n"))
-		s.line = append(s.line, rest...)
-		if !whole {
+		piece, after, ends := bytes.Cut(p, []byte("\n"))
+		s.line = append(s.line, piece...)
+		if !ends {
 			return nil
 		}
 		ended, err := s.head.Line(s.line)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// readBody reads the whole body of the response. The capacity of what it returns is
-// reserved in the memory for responses.
+// readBody reads the whole body of the response. Without an error, the capacity of the
+// body stays reserved in the memory for responses.
 func (c *conn) readBody(resp *http.Response, wrote chan error) ([]byte, error) {
 	body, err := c.memory.ReadAll(resp.Body, resp.ContentLength, maxResponseBytes)
 	if err != nil || !endsWithConnection(resp) {
@@ -222,10 +222,11 @@
 	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// lossDuringWrite ends the write of the request once a read has found the end of the
-// connection. It returns the error if the connection was reset or its peer was lost,
-// and nil if the server closed it. The kernel returns the error of a connection only
-// once: if the write gets it, reads find the same end as after a close.
+// lossDuringWrite is called when a read has found the end of the connection. It ends
+// the write of the request, and returns its error if the connection was reset or its
+// peer was lost, or nil if the server has closed the connection. The kernel returns the
+// error of a connection only once: if the write gets it, a read finds the same end as
+// after a close.
 func (c *conn) lossDuringWrite(wrote chan error) error {
 	var err error
 	select {
@@ -236,7 +237,8 @@
 	}
 	wrote <- err
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
-		// The write was not done, or the reset followed the close.
+		// The write was still waiting, or it met a reset after the close, for which
+		// Linux returns EPIPE.
 		return nil
 	}
 	return err
