--- a/internal/backend/roundtrip.go
+++ b/internal/backend/roundtrip.go
@@ -67,7 +67,7 @@
 }
 
 // IsFinalStatus reports whether a status is one that a final response can have. The
-// HTTP library reads any three digits as a status, and 101 as final.
+// HTTP library accepts 000 to 099, and takes 101 for a final one.
 func IsFinalStatus(status int) bool {
 	const maxStatus = 999
 	return status >= http.StatusOK && status <= maxStatus
--- a/internal/upstream/early_test.go
+++ b/internal/upstream/early_test.go
@@ -137,8 +137,9 @@
 	}
 }
 
-// Guards against the same faults on real connections, where the kernel decides
-// whether the write or the read gets the error.
+// Guards against a truncated response that is taken for a whole one, and against a whole
+// one that is lost, when a server responds during an upload. The kernel decides whether
+// the write or the read gets the error of the connection.
 func TestResponseDuringAnUpload(t *testing.T) {
 	const attempts = 20
 	for name, c := range map[string]struct {
--- a/internal/upstream/framing_test.go
+++ b/internal/upstream/framing_test.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// Guards against a header line whose name is not valid, and which is forwarded or
-// overlooked although another recipient takes it for the length.
+// Guards against a header line without a valid name that is forwarded, or overlooked
+// although other recipients take it for the length.
 func TestInvalidHeaderNameIsAFailure(t *testing.T) {
 	invalid := []byte("\x7f\x80\xff ()<>@,;\\\"/[]?={}")
 	for c := byte(0); c < ' '; c++ {
--- a/internal/upstream/header.go
+++ b/internal/upstream/header.go
@@ -20,6 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
+	// http.ReadResponse accepts 000 to 099, and signs.
 	if resp.StatusCode < http.StatusContinue {
 		return nil, fmt.Errorf("status %q", resp.Status)
 	}
