Say when the retry budget ended a request, and count what it grants

Logs and metrics could not tell whether hosts exceed the budget together or resend without it: a request that ended because the budget was spent looked like one whose route allows no further server, and no counter had the grants. The reason of such a request now says 'retry budget spent'; wisteria_counters_retries_granted and ..._refused count both. No decision changes.

--- a/internal/host/budgets.go
+++ b/internal/host/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
 	"github.com/wisteriacrank/wisteriacrank/pkg/retrybudget"
@@ -28,6 +29,16 @@
 	return budget
 }
 
+// takeRetry takes one retry of a request for the service from the retry budget,
+// and reports whether one was available.
+func (h *Host) takeRetry(now time.Time, service string) bool {
+	if !h.retryBudgetOf(service).Retry(now) {
+		return false
+	}
+	h.Metrics.Add("retries_granted", 1)
+	return true
+}
+
 // splitter distributes the requests of a route over its services by weight.
 type splitter struct {
 	parts []fleet.Part
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -226,7 +227,12 @@
 	if r.moved.Swap(false) {
 		return true
 	}
-	return r.host.retryBudgetOf(r.service).Retry(now)
+	if !r.host.takeRetry(now, r.service) {
+		r.host.Metrics.Add("retries_refused", 1)
+		f.err = fmt.Errorf("%w; retry budget spent", f.err)
+		return false
+	}
+	return true
 }
 
 // send sends the request to one server.
@@ -307,7 +313,7 @@
 		return false
 	}
 	now := time.Now()
-	if !h.canStart(now, retry) || !h.retryBudgetOf(r.service).Retry(now) {
+	if !h.canStart(now, retry) || !h.takeRetry(now, r.service) {
 		return false
 	}
 	r.moved.Store(true)
