Hosts that do not reach their region use no cold servers

The bound on the requests that reach a cold server in a second holds for all hosts together. Two hosts of a region share it, each with a quarter of it, and each host decides from its own view which two: a host that is isolated from the others takes itself for one of them as soon as they have fallen silent, so the sum grows with the isolated hosts.

Change: a host that reaches less than half of the hosts of its region that it has heard of in the last hour uses no cold server; at most two groups of hosts reach half, and they use the bound at most. A cold server that is not used meanwhile is warm by itself seconds later.

Before: TestHostsThatShareAColdServerStayWithinItsBound, 18 requests a second allowed: 24, 80 and 140 at 22, 107 and 195 hosts with one failure domain isolated, 264 with all. It passes now, and fails without the change.

pkg/linkbudget was looked at, too: it divides by the hosts of the region in the document or in view, whichever are more, so a host that loses sight of others keeps its part.

--- a/internal/host/dispatch.go
+++ b/internal/host/dispatch.go
@@ -140,7 +140,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	h.scheduler.SetCold(server, now.Add(min(left, maxColdTime)))
-	h.scheduler.LimitCold(now, func(id string) int { return h.coldLimit(view, view.Servers[id]) })
+	h.limitCold(now, view)
 }
 
 // markUnreachable excludes a server from scheduling until a probe succeeds.
--- a/internal/host/retry_fleet_test.go
+++ b/internal/host/retry_fleet_test.go
@@ -1,84 +1,28 @@
 package host
 
 import (
-	"fmt"
-	"io"
 	"slices"
 	"testing"
 	"time"
-
-	"github.com/sirupsen/logrus"
-
-	"github.com/wisteriacrank/wisteriacrank/internal/events"
-	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
-	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 )
 
 const (
 	fleetWindow     = 10 * time.Second
 	fleetRetryRatio = 0.2
-	fleetRegions    = 3
-	fleetZones      = 2 // of each region
-	fleetService    = "desk"
 
 	calm, refused = false, true
 )
 
-// retryFleet is a fleet whose servers refuse every request, on a clock of its own. All
-// hosts resend as often as their budgets allow.
+// slackOf has the slack of installations by their number of hosts.
+var slackOf = map[int]float64{2: 124, 22: 124, 107: 278, 195: 430}
+
+// retryFleet is a fleet whose hosts resend as often as their budgets allow.
 type retryFleet struct {
-	now   time.Time
-	slack float64
-	hosts []*Host
-	// isolated hosts exchange no heartbeats.
-	isolated map[int]bool
+	*hostFleet
 	requests []time.Time
 	retries  []time.Time
 }
 
-// newRetryFleet starts n hosts. Every seventh is a large one.
-func newRetryFleet(n int, slack float64) *retryFleet {
-	f := &retryFleet{now: time.Now(), slack: slack, hosts: make([]*Host, n), isolated: make(map[int]bool)}
-	for i := range f.hosts {
-		f.start(i)
-	}
-	return f
-}
-
-// start starts the process of a host, which knows no other host then.
-func (f *retryFleet) start(i int) {
-	zones := make(map[string]string)
-	for z := range fleetRegions * fleetZones {
-		zones[fmt.Sprint("z-", z)] = fmt.Sprint("r-", z/fleetZones)
-	}
-	zone := fmt.Sprint("z-", i%len(zones))
-	s := &Settings{ID: fmt.Sprint("h-", i), Region: zones[zone], Domain: zone, RegionOf: zones, Memory: 64 << 20, Cores: 0.16,
-		Bounds: Bounds{RetryRatio: fleetRetryRatio, RetrySlack: f.slack, RetryWindow: fleetWindow}}
-	s.Listen.Peers = s.ID
-	s.Seeds = []string{"h-0", "h-1"}
-	if f.isLarge(i) {
-		s.Cores = 0.8
-	}
-	h := New(Base{Settings: s, Log: events.New(io.Discard, logrus.InfoLevel, time.Now), Metrics: metrics.New()})
-	h.started = f.now
-	f.hosts[i] = h
-}
-
-func (f *retryFleet) isLarge(i int) bool { return i/(fleetRegions*fleetZones)%7 == 0 }
-
-// step lets d pass, after heartbeats between all hosts that are not isolated.
-func (f *retryFleet) step(d time.Duration) {
-	for i, from := range f.hosts {
-		for j, to := range f.hosts {
-			if i != j && !f.isolated[i] && !f.isolated[j] {
-				to.roster.Receive(f.now, roster.Heartbeat{ID: from.Settings.ID, Incarnation: 1, Region: from.Settings.Region, Domain: from.Settings.Domain,
-					PeerAddress: from.Settings.ID, Capacity: capacityOf(from.Settings), State: roster.Ready}, 0)
-			}
-		}
-	}
-	f.now = f.now.Add(d)
-}
-
 // serve sends n requests to each of the hosts, evenly over d. If servers refuse them,
 // each host resends until its budget is spent.
 func (f *retryFleet) serve(d time.Duration, refused bool, n int, hosts ...int) {
@@ -116,7 +60,7 @@
 	for _, from := range f.retries {
 		retries := count(f.retries, from)
 		requests := max(count(f.requests, from), count(f.requests, from.Add(-fleetWindow)), count(f.requests, from.Add(-fleetWindow/2)))
-		if bound := fleetRetryRatio*float64(requests) + f.slack; float64(retries) > bound {
+		if bound := fleetRetryRatio*float64(requests) + f.bounds.RetrySlack; float64(retries) > bound {
 			t.Fatalf("%d retries of %d requests within %v, the bound is %.0f", retries, requests, fleetWindow, bound)
 		}
 	}
@@ -128,24 +72,15 @@
 	return n
 }
 
-// retryFleets are the sizes and slacks of fleets.
-var retryFleets = []struct {
-	hosts int
-	slack float64
-}{{2, 124}, {22, 124}, {107, 278}, {195, 430}}
-
 func forEachRetryFleet(t *testing.T, run func(f *retryFleet)) {
-	for _, size := range retryFleets {
-		t.Run(fmt.Sprint(size.hosts, " hosts"), func(t *testing.T) {
-			f := newRetryFleet(size.hosts, size.slack)
-			f.serve(2*fleetWindow, calm, 0)
-			run(f)
-			f.check(t)
-			if len(f.retries) == 0 {
-				t.Error("no host may resend a request")
-			}
-		})
-	}
+	forEachFleetSize(t, func(t *testing.T, hosts int) {
+		f := &retryFleet{hostFleet: newHostFleet(hosts, Bounds{RetryRatio: fleetRetryRatio, RetrySlack: slackOf[hosts], RetryWindow: fleetWindow})}
+		run(f)
+		f.check(t)
+		if len(f.retries) == 0 {
+			t.Error("no host may resend a request")
+		}
+	})
 }
 
 // Guards against hosts with few requests that exceed the retry bound of the fleet together.
@@ -180,13 +115,13 @@
 // Guards against isolated hosts that count the others as gone and use their part of the bound.
 func TestRetriesOfIsolatedHostsStayWithinTheBound(t *testing.T) {
 	forEachRetryFleet(t, func(f *retryFleet) {
+		f.isolate(isInFirstZone)
 		for i := range f.hosts {
-			f.isolated[i] = i%6 == 0
-			if i%12 == 0 {
+			if i%4 == 0 && f.isolated[i] {
 				f.start(i)
 			}
 		}
-		f.serve(6*fleetWindow, calm, 0)
+		f.pass(time.Minute)
 		f.serve(2*fleetWindow, refused, 4, f.all()...)
 	})
 }
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -11,6 +11,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 	"github.com/wisteriacrank/wisteriacrank/pkg/scheduler"
 )
 
@@ -24,7 +25,8 @@
 	// hostsPerColdServer is the number of hosts that share a cold server.
 	hostsPerColdServer = 2
 	// coldSafetyFactor is the part of a cold server's bound that is used, because
-	// the views of the hosts that share the server may differ for a moment.
+	// the views of the hosts that share the server may differ: for a moment, or
+	// between two halves of a region.
 	coldSafetyFactor = 0.5
 	// maxColdTime bounds the time for which a server may say that it stays cold: a
 	// number beyond is a fault, and must not keep the server unused.
@@ -147,10 +149,15 @@
 	h.limitCold(now, view)
 }
 
-// limitCold sets the number of requests that this host may send to each cold
-// server, which depends on the hosts that share it.
+// limitCold sets the number of requests that this host may send to each cold server.
 func (h *Host) limitCold(now time.Time, view *inventory.View) {
-	h.scheduler.LimitCold(now, func(id string) int { return h.coldLimit(view, view.Servers[id]) })
+	shares := h.sharesColdServers(now)
+	h.scheduler.LimitCold(now, func(id string) int {
+		if !shares {
+			return 0
+		}
+		return h.coldLimit(view, view.Servers[id])
+	})
 }
 
 // coldUntil returns the end of the cold time in a server's entry, which counts
@@ -176,24 +183,28 @@
 	return view.Config.Services[name]
 }
 
-// coldLimit returns the number of requests per second that this host may send
-// to the server while it is cold. Only entry hosts of the server's region share
-// it.
+// sharesColdServers reports whether this host is one of those that share the cold
+// servers of its region. A host that reaches less than half of the region is not: it
+// would take itself for one of them whenever it is isolated.
+func (h *Host) sharesColdServers(now time.Time) bool {
+	if now.Sub(h.started) < coldStartupDelay {
+		return false
+	}
+	h.rosterMu.Lock()
+	defer h.rosterMu.Unlock()
+	return h.roster.ReachesHalfOfRegion(now) &&
+		slices.ContainsFunc(h.roster.Entries(now, h.Settings.Region, hostsPerColdServer), func(b roster.Heartbeat) bool { return b.ID == h.Settings.ID })
+}
+
+// coldLimit returns the number of requests per second that one of the hosts that share
+// a cold server may send to it.
 func (h *Host) coldLimit(view *inventory.View, server fleet.BackendServer) int {
 	service := serviceOf(view, server.Service)
-	if service == nil || time.Since(h.started) < coldStartupDelay {
+	if service == nil || server.Region != h.Settings.Region {
 		return 0
 	}
-	h.rosterMu.Lock()
-	entries := h.roster.Entries(time.Now(), server.Region, hostsPerColdServer)
-	h.rosterMu.Unlock()
-	for _, entry := range entries {
-		if entry.ID == h.Settings.ID {
-			bound := service.ColdRate*h.bounds().ColdOver + h.bounds().ColdSlack
-			return max(int(bound*coldSafetyFactor/hostsPerColdServer), 1)
-		}
-	}
-	return 0
+	bound := service.ColdRate*h.bounds().ColdOver + h.bounds().ColdSlack
+	return max(int(bound*coldSafetyFactor/hostsPerColdServer), 1)
 }
 
 // maintain runs the periodic housekeeping until ctx ends.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -133,7 +133,8 @@
 	// newPeers are hosts whose first heartbeat has arrived; they may know no
 	// other host of their region.
 	newPeers []Heartbeat
-	domain   domain
+	// known has the hosts of the region that this host has heard of.
+	known map[string]knownHost
 	// joined is set once this host has heard of another one.
 	joined bool
 	// intervals is the number of calls of Heartbeats so far.
@@ -143,7 +144,7 @@
 // New returns a roster that knows only this host and the addresses of seeds.
 func New(self Heartbeat, seeds []string, rng *rand.Rand) *Roster {
 	seeds = slices.DeleteFunc(slices.Clone(seeds), func(a string) bool { return a == self.PeerAddress })
-	return &Roster{self: &member{heartbeat: self}, seeds: seeds, members: make(map[string]*member), orders: make(map[string]*order), domain: make(domain), rng: rng}
+	return &Roster{self: &member{heartbeat: self}, seeds: seeds, members: make(map[string]*member), orders: make(map[string]*order), known: make(map[string]knownHost), rng: rng}
 }
 
 // Self returns this host's own heartbeat.
@@ -175,8 +176,7 @@
 			return
 		}
 		r.members[heartbeat.ID] = &member{heartbeat: heartbeat, lastSeen: seenAt}
-		r.joined = true
-		r.rememberInDomain(heartbeat, seenAt)
+		r.remember(heartbeat, seenAt)
 		clear(r.orders)
 		if age == 0 && len(r.newPeers) < maxNewPeers {
 			r.newPeers = append(r.newPeers, heartbeat)
@@ -197,7 +197,7 @@
 			clear(r.orders)
 		}
 		known.heartbeat, known.lastSeen = heartbeat, seenAt
-		r.rememberInDomain(heartbeat, seenAt)
+		r.remember(heartbeat, seenAt)
 	}
 }
 
