Random sequences of moves, restarts and isolations against the retry bound

Two seeded sequences of 40 s for fleets of 2, 22, 107 and 195 hosts: callers move, servers refuse, hosts restart and are isolated.

--- a/internal/host/retry_fleet_test.go
+++ b/internal/host/retry_fleet_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -41,14 +42,24 @@
 	}
 }
 
-func (f *retryFleet) all() []int {
+func (f *retryFleet) all() []int { return f.choose(func(int) bool { return true }) }
+
+func (f *retryFleet) choose(chosen func(i int) bool) []int {
 	var hosts []int
 	for i := range f.hosts {
-		hosts = append(hosts, i)
+		if chosen(i) {
+			hosts = append(hosts, i)
+		}
 	}
 	return hosts
 }
 
+func (f *retryFleet) restart(hosts ...int) {
+	for _, i := range hosts {
+		f.start(i)
+	}
+}
+
 // check fails the test if all hosts together exceed the bound in any window. The
 // requests count in the window itself, the one before it or half a window before it,
 // whichever has most.
@@ -93,9 +104,7 @@
 	forEachRetryFleet(t, func(f *retryFleet) {
 		for range 4 {
 			f.serve(fleetWindow/4, refused, 10, f.all()...)
-			for _, i := range f.all() {
-				f.start(i)
-			}
+			f.restart(f.all()...)
 		}
 		f.serve(2*fleetWindow, refused, 40, f.all()...)
 	})
@@ -116,12 +125,28 @@
 func TestRetriesOfIsolatedHostsStayWithinTheBound(t *testing.T) {
 	forEachRetryFleet(t, func(f *retryFleet) {
 		f.isolate(isInFirstZone)
-		for i := range f.hosts {
-			if i%4 == 0 && f.isolated[i] {
-				f.start(i)
-			}
-		}
+		f.restart(f.choose(func(i int) bool { return i%4 == 0 && f.isolated[i] })...)
 		f.pass(time.Minute)
 		f.serve(2*fleetWindow, refused, 4, f.all()...)
 	})
 }
+
+// Guards against a sequence of moves of callers, restarts and isolations in which hosts exceed the bound.
+func TestRetriesInRandomSequencesStayWithinTheBound(t *testing.T) {
+	const seeds, steps = 2, 16
+	forEachRetryFleet(t, func(f *retryFleet) {
+		for seed := range uint64(seeds) {
+			rng := rand.New(rand.NewPCG(seed, seed))
+			oneIn := func(n int) func(int) bool { return func(int) bool { return rng.IntN(n) == 0 } }
+			for range steps {
+				f.serve(fleetWindow/4, rng.IntN(2) == 0, []int{0, 5, 200, 600}[rng.IntN(4)], f.choose(oneIn(3))...)
+				switch rng.IntN(4) {
+				case 0:
+					f.restart(f.choose(oneIn(2))...)
+				case 1:
+					f.isolate(oneIn(6))
+				}
+			}
+		}
+	})
+}
