Count first attempts in the order of their times

Attempts could be lost from the count or kept too long.

Change: they count from when the request is whole, and a time that is earlier than the last one counts as that one. TestTimesOutOfOrderAreCounted: 0 retries are left after 20 first attempts without the change, 20 with it.

--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -115,7 +115,7 @@
 	}()
 	r.service = h.splitterOf(route).next()
 	r.object = r.placedObject()
-	h.retryBudgetOf(r.service, req.Received).FirstAttempt(req.Received)
+	h.retryBudgetOf(r.service, r.received).FirstAttempt(r.received)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer h.inFlight.add(r, cancel)()
--- a/pkg/retrybudget/window.go
+++ b/pkg/retrybudget/window.go
@@ -60,7 +60,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.dropOld(now)
-	w.firstAttempts = append(w.firstAttempts, now)
+	w.firstAttempts = appendInOrder(w.firstAttempts, now)
 }
 
 // Left returns the number of retries that the budget allows now.
@@ -80,9 +80,9 @@
 	case w.left() == 0:
 		return false
 	case w.creditLeft(now) > 0:
-		w.onCredit = append(w.onCredit, now)
+		w.onCredit = appendInOrder(w.onCredit, now)
 	case w.slackLeft() > 0:
-		w.onSlack = append(w.onSlack, now)
+		w.onSlack = appendInOrder(w.onSlack, now)
 	default:
 		return false
 	}
@@ -112,6 +112,15 @@
 	}
 }
 
+// appendInOrder appends a time, or the last one if that is later: callers read the
+// clock before they wait for the lock.
+func appendInOrder(times []time.Time, t time.Time) []time.Time {
+	if n := len(times); n > 0 && times[n-1].After(t) {
+		t = times[n-1]
+	}
+	return append(times, t)
+}
+
 // countAfter returns how many of the times, which are in order, are after limit.
 func countAfter(times []time.Time, limit time.Time) int {
 	first, _ := slices.BinarySearchFunc(times, limit, func(t, limit time.Time) int {
--- a/pkg/retrybudget/window_test.go
+++ b/pkg/retrybudget/window_test.go
@@ -74,3 +74,16 @@
 		t.Errorf("%d retries in the next window", got)
 	}
 }
+
+// Guards against attempts that are lost because an earlier time was counted after them.
+func TestTimesOutOfOrderAreCounted(t *testing.T) {
+	w := NewWindow(Bound{Span: span, Ratio: 1})
+	firstAttempts(w, start.Add(5*time.Second), 10)
+	firstAttempts(w, start, 10)
+	if left := w.Left(start.Add(6 * time.Second)); left != 20 {
+		t.Errorf("%d retries are left after 20 first attempts", left)
+	}
+	if left := w.Left(start.Add(5*time.Second + span)); left != 0 {
+		t.Errorf("%d retries are left after the window", left)
+	}
+}
