Hosts that left as planned do not make a region unreachable

A host whose last heartbeat said that it was leaving does not count any more; for the slack of the retry bound it still does, as it may have used its part. TestOnlyHostsThatDidNotLeaveCountAsUnreachable fails without the change.

--- a/pkg/roster/known.go
+++ b/pkg/roster/known.go
@@ -16,13 +16,15 @@
 type knownHost struct {
 	domain   string
 	capacity int
+	// left is set if the host was leaving when it was last heard of.
+	left     bool
 	lastSeen time.Time
 }
 
 func (r *Roster) remember(heartbeat Heartbeat, seenAt time.Time) {
 	r.joined = true
 	if heartbeat.Region == r.self.heartbeat.Region {
-		r.known[heartbeat.ID] = knownHost{domain: heartbeat.Domain, capacity: heartbeat.Capacity, lastSeen: seenAt}
+		r.known[heartbeat.ID] = knownHost{domain: heartbeat.Domain, capacity: heartbeat.Capacity, left: heartbeat.State == Leaving, lastSeen: seenAt}
 	}
 }
 
@@ -63,18 +65,22 @@
 }
 
 // ReachesHalfOfRegion reports whether at least half of the hosts of the region, this
-// one included, are live in its view. Of hosts that do not reach each other, two
-// groups at most do.
+// one included, are live in its view. Hosts that left as planned do not count. Of hosts
+// that do not reach each other, two groups at most reach half.
 func (r *Roster) ReachesHalfOfRegion(now time.Time) bool {
 	if r.isUnconnected() {
 		return false
 	}
 	r.forgetKnown(now)
-	live := 1
-	for _, m := range r.members {
-		if m.heartbeat.Region == r.self.heartbeat.Region && r.isLive(now, m) {
+	live, all := 1, 1
+	for id, host := range r.known {
+		if host.left {
+			continue
+		}
+		all++
+		if m := r.members[id]; m != nil && r.isLive(now, m) {
 			live++
 		}
 	}
-	return 2*live >= len(r.known)+1
+	return 2*live >= all
 }
--- a/pkg/roster/known_test.go
+++ b/pkg/roster/known_test.go
@@ -68,3 +68,22 @@
 		}
 	}
 }
+
+// Guards against hosts that count others as unreachable because they left as planned, and against isolated hosts that count as half of the region.
+func TestOnlyHostsThatDidNotLeaveCountAsUnreachable(t *testing.T) {
+	for _, state := range []State{Ready, Leaving} {
+		r := newRoster(newHeartbeat("self", "west", "a"), "seed")
+		if r.ReachesHalfOfRegion(start) {
+			t.Error("a host that has heard of no other reaches half of the region")
+		}
+		for _, id := range []string{"b", "c", "d"} {
+			r.Receive(start, newHeartbeat(id, "west", "a"), 0)
+			b := newHeartbeat(id, "west", "a")
+			b.State = state
+			r.Receive(start.Add(time.Millisecond), b, 0)
+		}
+		if got, want := r.ReachesHalfOfRegion(start.Add(LocalTimeout+time.Second)), state == Leaving; got != want {
+			t.Errorf("with three hosts silent whose last state was %v, half of the region is reached: %v", state, got)
+		}
+	}
+}
