--- a/internal/host/cold_fleet_test.go
+++ b/internal/host/cold_fleet_test.go
@@ -19,8 +19,8 @@
 		used     bool
 	}{
 		{"calm", func(int) bool { return false }, true},
-		{"a failure domain isolated", isInFirstZone, true},
-		{"one of three hosts isolated", func(i int) bool { return i/(fleetRegions*fleetZones)%3 == 1 }, true},
+		{"a failure domain isolated", isInFirstDomain, true},
+		{"one of three hosts isolated", func(i int) bool { return i/(fleetRegions*fleetDomains)%3 == 1 }, true},
 		{"all isolated", func(int) bool { return true }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/host/host_fleet_test.go
+++ b/internal/host/host_fleet_test.go
@@ -15,7 +15,7 @@
 
 const (
 	fleetRegions = 3
-	fleetZones   = 2 // of each region
+	fleetDomains = 2 // of each region
 	fleetService = "desk"
 )
 
@@ -44,15 +44,15 @@
 
 // start starts the process of a host, which knows no other host then.
 func (f *hostFleet) start(i int) {
-	zones := make(map[string]string)
-	for z := range fleetRegions * fleetZones {
-		zones[fmt.Sprint("z-", z)] = fmt.Sprint("r-", z/fleetZones)
+	regionOf := make(map[string]string)
+	for d := range fleetRegions * fleetDomains {
+		regionOf[fmt.Sprint("d-", d)] = fmt.Sprint("r-", d/fleetDomains)
 	}
-	zone := fmt.Sprint("z-", i%len(zones))
-	s := &Settings{ID: fmt.Sprint("h-", i), Region: zones[zone], Domain: zone, RegionOf: zones, Seeds: []string{"h-0", "h-1"},
+	domain := fmt.Sprint("d-", i%len(regionOf))
+	s := &Settings{ID: fmt.Sprint("h-", i), Region: regionOf[domain], Domain: domain, RegionOf: regionOf, Seeds: []string{"h-0", "h-1"},
 		Memory: 64 << 20, Cores: 0.16, Bounds: f.bounds}
 	s.Listen.Peers = s.ID
-	if i/len(zones)%7 == 0 {
+	if i/len(regionOf)%7 == 0 {
 		s.Cores = 0.8
 	}
 	h := New(Base{Settings: s, Log: events.New(io.Discard, logrus.InfoLevel, time.Now), Metrics: metrics.New()})
@@ -88,8 +88,8 @@
 	}
 }
 
-// isInFirstZone chooses all hosts of one failure domain.
-func isInFirstZone(i int) bool { return i%(fleetRegions*fleetZones) == 0 }
+// isInFirstDomain chooses all hosts of one failure domain.
+func isInFirstDomain(i int) bool { return i%(fleetRegions*fleetDomains) == 0 }
 
 // forEachFleetSize runs a test for fleets from the smallest to the large installation.
 func forEachFleetSize(t *testing.T, run func(t *testing.T, hosts int)) {
--- a/internal/host/retry_fleet_test.go
+++ b/internal/host/retry_fleet_test.go
@@ -124,7 +124,7 @@
 // Guards against isolated hosts that count the others as gone and use their part of the bound.
 func TestRetriesOfIsolatedHostsStayWithinTheBound(t *testing.T) {
 	forEachRetryFleet(t, func(f *retryFleet) {
-		f.isolate(isInFirstZone)
+		f.isolate(isInFirstDomain)
 		f.restart(f.choose(func(i int) bool { return i%4 == 0 && f.isolated[i] })...)
 		f.pass(time.Minute)
 		f.serve(2*fleetWindow, refused, 4, f.all()...)
--- a/pkg/retrybudget/window.go
+++ b/pkg/retrybudget/window.go
@@ -14,8 +14,9 @@
 	ratioPart = 0.7
 	slackPart = 0.85
 	// creditPart is the part of the window for which a first attempt entitles to
-	// retries. It bounds the credit of hosts whose callers move to others, so that
-	// ratioPart * (1 + creditPart) of the ratio is used at most.
+	// retries. When callers move to other hosts, or hosts restart, attempts from
+	// before a window entitle to retries in it beside those of the window: with
+	// steady traffic, ratioPart * (1 + creditPart) of the ratio is used at most.
 	creditPart = 0.4
 )
 
--- a/pkg/roster/known.go
+++ b/pkg/roster/region.go
@@ -3,17 +3,17 @@
 import "time"
 
 const (
-	// knownFor is how long a host of the region is remembered. It exceeds the time
+	// rememberFor is how long a host of the region is remembered. It exceeds the time
 	// for which hosts may be isolated from each other: an isolated host must not take
 	// the others for gone, since they work on.
-	knownFor = time.Hour
+	rememberFor = time.Hour
 	// minDomainHosts is the number of hosts of a failure domain that is assumed if
 	// fewer are known, because a host may not know all others.
 	minDomainHosts = 3
 )
 
-// knownHost is a host of this host's region, live or not.
-type knownHost struct {
+// regionHost is a host of this host's region, live or not.
+type regionHost struct {
 	domain   string
 	capacity int
 	// left is set if the host was leaving when it was last heard of.
@@ -21,18 +21,19 @@
 	lastSeen time.Time
 }
 
+// remember adds a host of the region to those that this host has heard of.
 func (r *Roster) remember(heartbeat Heartbeat, seenAt time.Time) {
 	r.joined = true
 	if heartbeat.Region == r.self.heartbeat.Region {
-		r.known[heartbeat.ID] = knownHost{domain: heartbeat.Domain, capacity: heartbeat.Capacity, left: heartbeat.State == Leaving, lastSeen: seenAt}
+		r.regionHosts[heartbeat.ID] = regionHost{domain: heartbeat.Domain, capacity: heartbeat.Capacity, left: heartbeat.State == Leaving, lastSeen: seenAt}
 	}
 }
 
-// forgetKnown forgets hosts that were last heard of too long ago.
-func (r *Roster) forgetKnown(now time.Time) {
-	for id, host := range r.known {
-		if now.Sub(host.lastSeen) > knownFor {
-			delete(r.known, id)
+// forgetOld forgets hosts that were last heard of too long ago.
+func (r *Roster) forgetOld(now time.Time) {
+	for id, host := range r.regionHosts {
+		if now.Sub(host.lastSeen) > rememberFor {
+			delete(r.regionHosts, id)
 		}
 	}
 }
@@ -53,10 +54,10 @@
 	if r.isUnconnected() {
 		return 0
 	}
-	r.forgetKnown(now)
+	r.forgetOld(now)
 	own := max(r.self.heartbeat.Capacity, 1)
 	total := own
-	for _, host := range r.known {
+	for _, host := range r.regionHosts {
 		if host.domain == r.self.heartbeat.Domain {
 			total += max(host.capacity, 1)
 		}
@@ -71,9 +72,9 @@
 	if r.isUnconnected() {
 		return false
 	}
-	r.forgetKnown(now)
+	r.forgetOld(now)
 	live, all := 1, 1
-	for id, host := range r.known {
+	for id, host := range r.regionHosts {
 		if host.left {
 			continue
 		}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -133,8 +133,9 @@
 	// newPeers are hosts whose first heartbeat has arrived; they may know no
 	// other host of their region.
 	newPeers []Heartbeat
-	// known has the hosts of the region that this host has heard of.
-	known map[string]knownHost
+	// regionHosts has the other hosts of the region that this host has heard of in
+	// the last hour, live or not; members has those of the last 30 s.
+	regionHosts map[string]regionHost
 	// joined is set once this host has heard of another one.
 	joined bool
 	// intervals is the number of calls of Heartbeats so far.
@@ -144,7 +145,7 @@
 // New returns a roster that knows only this host and the addresses of seeds.
 func New(self Heartbeat, seeds []string, rng *rand.Rand) *Roster {
 	seeds = slices.DeleteFunc(slices.Clone(seeds), func(a string) bool { return a == self.PeerAddress })
-	return &Roster{self: &member{heartbeat: self}, seeds: seeds, members: make(map[string]*member), orders: make(map[string]*order), known: make(map[string]knownHost), rng: rng}
+	return &Roster{self: &member{heartbeat: self}, seeds: seeds, members: make(map[string]*member), orders: make(map[string]*order), regionHosts: make(map[string]regionHost), rng: rng}
 }
 
 // Self returns this host's own heartbeat.
