Agent: test the refused difference without each entry in turn

Cause: the test removed an entry at random (the order of a map) and expected the next difference to be refused.

The product's code was right and is unchanged.

--- a/internal/agent/latencies_test.go
+++ b/internal/agent/latencies_test.go
@@ -113,24 +113,39 @@
 }
 
 // Guards against a difference that is applied to measurements that it wasn't made
-// from: the digest prevents that, and the whole state repairs them.
+// from: the digest prevents that, and the whole state repairs them. A difference
+// that itself restores what is missing is applied.
 func TestDifferenceToOtherMeasurementsIsRefused(t *testing.T) {
 	now := time.Unix(1000, 0)
-	poller, other := sharedRegion(now, 2)
+	poller, _ := sharedRegion(now, 2)
 	measured := newMeasuredBlocks(200)
 	poller.applyPoll(now, measured.read(now))
-	other.applyShared(poller.sharedSince(0))
-	for key := range other.shared.latencies.entries {
+	first := poller.sharedSince(0)
+	later := now.Add(latencyInterval)
+	poller.applyPoll(later, measured.read(later))
+	difference := poller.sharedSince(first.Version)
+	restored := 0
+	for key, entry := range poller.shared.latencies.entries {
+		_, other := sharedRegion(now, 2)
+		if !other.applyShared(first) {
+			t.Fatal("the whole state was not applied")
+		}
 		other.shared.latencies.remove(1, key)
-		break
-	}
-	base := poller.shared.version
-	poller.applyPoll(now.Add(latencyInterval), measured.read(now.Add(latencyInterval)))
-	if other.applyShared(poller.sharedSince(base)) {
-		t.Error("a difference from other measurements was applied")
+		restores := entry.version > first.Version
+		if restores {
+			restored++
+		}
+		if applied := other.applyShared(difference); applied != restores {
+			t.Errorf("without %v: applied %v, want %v", key.block, applied, restores)
+		} else if applied && !equalTables(poller.shared.latencies, other.shared.latencies) {
+			t.Errorf("without %v: the difference was applied and the measurements differ", key.block)
+		}
+		if !other.applyShared(poller.sharedSince(0)) || !equalTables(poller.shared.latencies, other.shared.latencies) {
+			t.Errorf("without %v: the whole state did not repair the measurements", key.block)
+		}
 	}
-	if !other.applyShared(poller.sharedSince(0)) || !equalTables(poller.shared.latencies, other.shared.latencies) {
-		t.Error("the whole state did not repair the measurements")
+	if restored == 0 || restored == len(measured.list) {
+		t.Errorf("the difference has %d of %d measurements, want some", restored, len(measured.list))
 	}
 }
 
