Host: use cold servers only once chosen for them for 3 s

What callers' servers saw: when hosts stop or begin to reach each other, more than two hosts of a region take themselves for the two that share its cold servers, for a moment, and each of them sends a full part.

Cause: each host chooses by its own view, and views differ until silence is noticed, 1.7 s for a host that carries requests and 5 s for one on standby. The fleets of the tests exchanged no real heartbeats, so no host was ever on standby in them, and nothing differed.

Change: a host uses cold servers once its view has chosen it for 3 s without a break; it stops at once. This takes the place of the wait of 3 s after the start. The fleets of the tests exchange the heartbeats of pkg/roster now, encoded as between processes. The test of cold servers checks each interval of 0.4 s instead of each second, that some host uses the server in every one of them as before, and, new, random sequences of isolations and restarts.

--- a/internal/host/cold_fleet_test.go
+++ b/internal/host/cold_fleet_test.go
@@ -1,18 +1,60 @@
 package host
 
 import (
+	"math/rand/v2"
 	"testing"
-	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 )
 
+const coldBound = 2*4 + 10 // ColdRate * ColdOver + ColdSlack
+
+// coldFleet is a fleet with a cold server in the first region.
+type coldFleet struct {
+	*hostFleet
+	view   *inventory.View
+	server fleet.BackendServer
+}
+
+func forEachColdFleet(t *testing.T, run func(t *testing.T, f *coldFleet)) {
+	forEachFleetSize(t, func(t *testing.T, hosts int) {
+		f := &coldFleet{
+			hostFleet: newHostFleet(hosts, Bounds{ColdOver: 2, ColdSlack: 10}),
+			view:      &inventory.View{Config: fleet.NewConfig(1, nil, map[string]*fleet.Service{fleetService: {Name: fleetService, ColdRate: 4}}, fleet.Limits{})},
+			server:    fleet.BackendServer{ID: "i-0", Service: fleetService, Region: "r-0"},
+		}
+		f.passIntervals(t, int(coldSettleDelay/roster.HeartbeatInterval)+2)
+		run(t, f)
+	})
+}
+
+// passIntervals lets n intervals pass and returns in how many of them some host might use
+// the cold server. It fails the test if the hosts may exceed the server's bound together.
+func (f *coldFleet) passIntervals(t *testing.T, n int) (used int) {
+	t.Helper()
+	for range n {
+		f.pass(roster.HeartbeatInterval)
+		sum := 0
+		for _, h := range f.hosts {
+			if h.sharesColdServers(f.now) {
+				sum += h.coldLimit(f.view, f.server)
+			}
+		}
+		if sum > coldBound {
+			t.Fatalf("%d requests a second, the bound is %d", sum, coldBound)
+		}
+		if sum > 0 {
+			used++
+		}
+	}
+	return used
+}
+
 // Guards against isolated hosts that each take themselves for one of those that share a cold server.
 func TestHostsThatShareAColdServerStayWithinItsBound(t *testing.T) {
-	const bound = 2*4 + 10 // ColdRate * ColdOver + ColdSlack
-	server := fleet.BackendServer{ID: "i-0", Service: fleetService, Region: "r-0"}
-	view := &inventory.View{Config: fleet.NewConfig(1, nil, map[string]*fleet.Service{fleetService: {Name: fleetService, ColdRate: 4}}, fleet.Limits{})}
+	const intervals = 150
 	for _, c := range []struct {
 		name     string
 		isolated func(i int) bool
@@ -24,25 +66,35 @@
 		{"all isolated", func(int) bool { return true }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			forEachFleetSize(t, func(t *testing.T, hosts int) {
-				f := newHostFleet(hosts, Bounds{ColdOver: 2, ColdSlack: 10})
+			forEachColdFleet(t, func(t *testing.T, f *coldFleet) {
 				f.isolate(c.isolated)
-				for range 60 {
-					f.step(time.Second)
-					sum := 0
-					for _, h := range f.hosts {
-						if h.sharesColdServers(f.now) {
-							sum += h.coldLimit(view, server)
-						}
-					}
-					if sum > bound {
-						t.Fatalf("%d requests a second, the bound is %d", sum, bound)
-					}
-					if sum == 0 && c.used {
-						t.Fatal("no host uses the server")
-					}
+				if used := f.passIntervals(t, intervals); used < intervals && c.used {
+					t.Errorf("no host uses the server in %d of %d intervals", intervals-used, intervals)
 				}
 			})
 		})
 	}
 }
+
+// Guards against hosts that share a cold server with too many others while their views differ.
+func TestHostsThatShareAColdServerInRandomSequencesStayWithinItsBound(t *testing.T) {
+	const seeds, steps, maxIntervals = 2, 12, 30
+	forEachColdFleet(t, func(t *testing.T, f *coldFleet) {
+		for seed := range uint64(seeds) {
+			rng := rand.New(rand.NewPCG(seed, seed))
+			for range steps {
+				part := []int{2, 3, 6, 1 << 30}[rng.IntN(4)]
+				f.isolate(func(int) bool { return rng.IntN(part) == 0 })
+				if rng.IntN(2) == 0 {
+					f.restart(f.choose(func(int) bool { return rng.IntN(4) == 0 })...)
+				}
+				f.passIntervals(t, 1+rng.IntN(maxIntervals))
+			}
+		}
+		clear(f.isolated)
+		f.passIntervals(t, maxIntervals)
+		if f.passIntervals(t, 1) == 0 {
+			t.Error("no host uses the server after the last change")
+		}
+	})
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -90,7 +90,10 @@
 
 	// rosterMu is taken after mu and after the reader's own lock, never before.
 	rosterMu sync.Mutex
-	roster   *roster.Roster
+	// chosenForColdSince is since when this host's view makes it one of those that share
+	// the cold servers of the region, zero if it does not. rosterMu guards it.
+	chosenForColdSince time.Time
+	roster             *roster.Roster
 	// newerMu guards newer: the peers that have newer content of a collection.
 	newerMu sync.Mutex
 	newer   map[inventory.Collection]newerPeer
--- a/internal/host/host_fleet_test.go
+++ b/internal/host/host_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 )
 
@@ -17,6 +19,7 @@
 	fleetRegions = 3
 	fleetDomains = 2 // of each region
 	fleetService = "desk"
+	fleetSlots   = 40 // of the servers of each region
 )
 
 // fleetSettled is the time after which the hosts of a fleet know each other and have
@@ -28,13 +31,16 @@
 	now    time.Time
 	bounds Bounds
 	hosts  []*Host
+	// indexOf has the index of each host by its peer address.
+	indexOf        map[string]int
+	nextHeartbeats time.Time
 	// isolated hosts exchange no heartbeats.
 	isolated map[int]bool
 }
 
 // newHostFleet starts n hosts and lets them settle. Every seventh is a large one.
 func newHostFleet(n int, bounds Bounds) *hostFleet {
-	f := &hostFleet{now: time.Now(), bounds: bounds, hosts: make([]*Host, n), isolated: make(map[int]bool)}
+	f := &hostFleet{now: time.Now(), bounds: bounds, hosts: make([]*Host, n), indexOf: make(map[string]int), isolated: make(map[int]bool)}
 	for i := range f.hosts {
 		f.start(i)
 	}
@@ -57,27 +63,68 @@
 	}
 	h := New(Base{Settings: s, Log: events.New(io.Discard, logrus.InfoLevel, time.Now), Metrics: metrics.New()})
 	h.started = f.now
+	self := h.roster.Self()
+	self.Incarnation = uint64(f.now.UnixMilli())
+	h.roster = roster.New(self, s.Seeds, rand.New(rand.NewPCG(uint64(i), 0)))
 	h.roster.SetState(roster.Ready, false)
-	f.hosts[i] = h
+	f.hosts[i], f.indexOf[s.Listen.Peers] = h, i
 }
 
-// step lets d pass, after heartbeats between all hosts that are not isolated.
-func (f *hostFleet) step(d time.Duration) {
+// pass lets d pass, and exchanges the heartbeats that are due.
+func (f *hostFleet) pass(d time.Duration) {
+	for end := f.now.Add(d); ; {
+		if !f.now.Before(f.nextHeartbeats) {
+			f.exchangeHeartbeats()
+			f.nextHeartbeats = f.now.Add(roster.HeartbeatInterval)
+		}
+		if !f.nextHeartbeats.Before(end) {
+			f.now = end
+			return
+		}
+		f.now = f.nextHeartbeats
+	}
+}
+
+// exchangeHeartbeats delivers the heartbeats of one interval between the hosts that are
+// not isolated.
+func (f *hostFleet) exchangeHeartbeats() {
 	for i, from := range f.hosts {
-		for j, to := range f.hosts {
-			if i != j && !f.isolated[i] && !f.isolated[j] {
-				to.roster.Receive(f.now, roster.Heartbeat{ID: from.Settings.ID, Incarnation: 1, Region: from.Settings.Region, Domain: from.Settings.Domain,
-					PeerAddress: from.Settings.ID, Capacity: capacityOf(from.Settings), State: roster.Ready}, 0)
+		if f.isolated[i] {
+			continue
+		}
+		for _, m := range from.roster.Heartbeats(f.now, fleetSlots) {
+			self := heartbeatToWire(from.roster.Self(), 0)
+			if !m.Full {
+				omitStaticFields(self)
+			}
+			var others []*wirepb.HostBeat
+			for _, other := range m.Forwarded {
+				others = append(others, heartbeatToWire(other.Heartbeat, other.Age))
+			}
+			for _, address := range m.To {
+				if to := f.indexOf[address]; !f.isolated[to] {
+					f.hosts[to].updateRoster(f.now, heartbeatFromWire(self), others)
+				}
 			}
 		}
 	}
-	f.now = f.now.Add(d)
 }
 
-// pass lets d pass with a step each second.
-func (f *hostFleet) pass(d time.Duration) {
-	for ; d > 0; d -= time.Second {
-		f.step(time.Second)
+func (f *hostFleet) all() []int { return f.choose(func(int) bool { return true }) }
+
+func (f *hostFleet) choose(chosen func(i int) bool) []int {
+	var hosts []int
+	for i := range f.hosts {
+		if chosen(i) {
+			hosts = append(hosts, i)
+		}
+	}
+	return hosts
+}
+
+func (f *hostFleet) restart(hosts ...int) {
+	for _, i := range hosts {
+		f.start(i)
 	}
 }
 
--- a/internal/host/retry_fleet_test.go
+++ b/internal/host/retry_fleet_test.go
@@ -38,25 +38,7 @@
 				f.retries = append(f.retries, f.now)
 			}
 		}
-		f.step(d / steps)
-	}
-}
-
-func (f *retryFleet) all() []int { return f.choose(func(int) bool { return true }) }
-
-func (f *retryFleet) choose(chosen func(i int) bool) []int {
-	var hosts []int
-	for i := range f.hosts {
-		if chosen(i) {
-			hosts = append(hosts, i)
-		}
-	}
-	return hosts
-}
-
-func (f *retryFleet) restart(hosts ...int) {
-	for _, i := range hosts {
-		f.start(i)
+		f.pass(d / steps)
 	}
 }
 
--- a/internal/host/scale_bench_test.go
+++ b/internal/host/scale_bench_test.go
@@ -34,7 +34,7 @@
 		}
 		h.roster.Receive(time.Now().Add(time.Hour), roster.Heartbeat{ID: fmt.Sprint("h-", i), Region: fmt.Sprint("r-", i%regions), Domain: "d", PeerAddress: fmt.Sprint(i), State: roster.Ready, Capacity: capacity}, 0)
 	}
-	h.started = time.Now().Add(-2 * coldStartupDelay)
+	h.chosenForColdSince = time.Now().Add(-2 * coldSettleDelay)
 	services := map[string]*fleet.Service{"desk": {Name: "desk", ColdRate: 3, ColdStart: 3 * time.Second}}
 	view := &inventory.View{Config: fleet.NewConfig(1, nil, services, fleet.Limits{}), Servers: make(map[string]fleet.BackendServer)}
 	for i := range size.servers {
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -19,14 +19,15 @@
 	// maintainInterval is the interval between runs of the housekeeping of idle
 	// connections and limits of cold servers.
 	maintainInterval = 500 * time.Millisecond
-	// coldStartupDelay is how long after its start a host sends no requests to
-	// cold servers: until then it does not know which hosts share them.
-	coldStartupDelay = 3 * time.Second
+	// coldSettleDelay is how long a host has been one of those that share the cold
+	// servers before it uses them. For a moment after hosts have started or stopped to
+	// reach each other, more hosts take themselves for one of these.
+	coldSettleDelay = 3 * time.Second
 	// hostsPerColdServer is the number of hosts that share a cold server.
 	hostsPerColdServer = 2
 	// coldSafetyFactor is the part of a cold server's bound that is used, because
-	// the views of the hosts that share the server may differ: for a moment, or
-	// between two halves of a region.
+	// the views of the hosts that share the server may differ between two halves of a
+	// region.
 	coldSafetyFactor = 0.5
 	// maxColdTime bounds the time for which a server may say that it stays cold: a
 	// number beyond is a fault, and must not keep the server unused.
@@ -184,14 +185,25 @@
 }
 
 // sharesColdServers reports whether this host is one of those that share the cold
-// servers of its region. A host that reaches less than half of the region is not: it
-// would take itself for one of them whenever it is isolated.
+// servers of its region, and has been for coldSettleDelay.
 func (h *Host) sharesColdServers(now time.Time) bool {
-	if now.Sub(h.started) < coldStartupDelay {
-		return false
-	}
 	h.rosterMu.Lock()
 	defer h.rosterMu.Unlock()
+	if !h.isChosenForColdServers(now) {
+		h.chosenForColdSince = time.Time{}
+		return false
+	}
+	if h.chosenForColdSince.IsZero() {
+		h.chosenForColdSince = now
+	}
+	return now.Sub(h.chosenForColdSince) >= coldSettleDelay
+}
+
+// isChosenForColdServers reports whether this host's view makes it one of the hosts that
+// share the cold servers of its region. A host that reaches less than half of the region
+// is not: it would take itself for one of them whenever it is isolated. It is called with
+// rosterMu held.
+func (h *Host) isChosenForColdServers(now time.Time) bool {
 	return h.roster.ReachesHalfOfRegion(now) &&
 		slices.ContainsFunc(h.roster.Entries(now, h.Settings.Region, hostsPerColdServer), func(b roster.Heartbeat) bool { return b.ID == h.Settings.ID })
 }
