Host: no retry slack until others have been known for a window

What servers saw: after a failure domain was cut off for 12 s, in which its hosts had restarted, a service that refuses all got 585 retries in 10 s at 195 hosts, where 469 were allowed (own test; it holds at 2, 22 and 107 hosts).

Cause: a process has no part of the retry slack for a window after its start, as it does not know all hosts of its failure domain before. One that starts isolated does not know them after a window, either: when the isolation ends, it first hears of a few, and takes a part as if there were no more.

Change: the window counts from when the host first hears of another one. A host that is the only one has its part at once, as before.

Measured: the new test fails on (above), and passes.

--- a/internal/host/budgets.go
+++ b/internal/host/budgets.go
@@ -29,12 +29,12 @@
 
 // slackShare returns this host's share of the slack of the retry bound. Each failure
 // domain has an equal part, which its hosts divide. A process has none until it has
-// run for a window: it does not know all hosts yet, and the process before it may
-// have used the share.
+// heard of others for a window: it does not know all hosts yet, and the process before
+// it may have used the share.
 func (h *Host) slackShare(now time.Time) float64 {
 	h.rosterMu.Lock()
 	defer h.rosterMu.Unlock()
-	if now.Sub(h.started) < h.bounds().RetryWindow && !h.roster.IsOnlyHost() {
+	if !h.roster.HasKnownOthersFor(now, h.bounds().RetryWindow) {
 		return 0
 	}
 	return h.roster.DomainShare(now) / float64(len(h.Settings.RegionOf))
--- a/internal/host/retry_fleet_test.go
+++ b/internal/host/retry_fleet_test.go
@@ -127,6 +127,17 @@
 	})
 }
 
+// Guards against hosts that started isolated and use too large a part of the bound when they hear of the first others.
+func TestRetriesOfHostsThatStartedIsolatedStayWithinTheBound(t *testing.T) {
+	forEachRetryFleet(t, func(f *retryFleet) {
+		f.isolate(isInFirstDomain)
+		f.restart(f.choose(isInFirstDomain)...)
+		f.pass(fleetWindow + 2*time.Second)
+		clear(f.isolated)
+		f.serve(fleetWindow, refused, 1, f.all()...)
+	})
+}
+
 // Guards against a sequence of moves of callers, restarts and isolations in which hosts exceed the bound.
 func TestRetriesInRandomSequencesStayWithinTheBound(t *testing.T) {
 	const seeds, steps = 2, 16
--- a/pkg/roster/region.go
+++ b/pkg/roster/region.go
@@ -23,8 +23,10 @@
 )
 
 // remember adds a host of the region to those that this host has heard of.
-func (r *Roster) remember(heartbeat Heartbeat, seenAt time.Time) {
-	r.joined = true
+func (r *Roster) remember(now time.Time, heartbeat Heartbeat, seenAt time.Time) {
+	if r.joinedAt.IsZero() {
+		r.joinedAt = now
+	}
 	if heartbeat.Region == r.self.heartbeat.Region && !r.regionHosts[heartbeat.ID].lastSeen.After(seenAt) {
 		r.regionHosts[heartbeat.ID] = member{heartbeat: heartbeat, lastSeen: seenAt}
 	}
@@ -39,13 +41,19 @@
 	}
 }
 
-// IsOnlyHost reports whether this host has heard of no other host since its start, and
+// isOnlyHost reports whether this host has heard of no other host since its start, and
 // has no seed from which it could.
-func (r *Roster) IsOnlyHost() bool { return !r.joined && len(r.seeds) == 0 }
+func (r *Roster) isOnlyHost() bool { return r.joinedAt.IsZero() && len(r.seeds) == 0 }
+
+// HasKnownOthersFor reports whether this host has heard of others for d, or is the only
+// host.
+func (r *Roster) HasKnownOthersFor(now time.Time, d time.Duration) bool {
+	return r.isOnlyHost() || !r.joinedAt.IsZero() && now.Sub(r.joinedAt) >= d
+}
 
 // isUnconnected reports whether this host has heard of no other host since its start
 // though there are others.
-func (r *Roster) isUnconnected() bool { return !r.joined && !r.IsOnlyHost() }
+func (r *Roster) isUnconnected() bool { return r.joinedAt.IsZero() && !r.isOnlyHost() }
 
 // DomainShare returns this host's share of what the hosts of its failure domain may
 // use together, by the capacity of each. It does not grow when others fall silent, so
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -139,8 +139,8 @@
 	// repliesLeft has, by peer address, how often hosts of the region that have started
 	// are still told of the silent ones.
 	repliesLeft map[string]int
-	// joined is set once this host has heard of another one.
-	joined bool
+	// joinedAt is when this host first heard of another one, zero until then.
+	joinedAt time.Time
 	// intervals is the number of calls of Heartbeats so far.
 	intervals int
 }
@@ -187,7 +187,7 @@
 		if !heartbeat.isFull() {
 			return
 		}
-		r.remember(heartbeat, seenAt)
+		r.remember(now, heartbeat, seenAt)
 		if age > removeAfter {
 			return
 		}
@@ -213,7 +213,7 @@
 			clear(r.orders)
 		}
 		known.heartbeat, known.lastSeen = heartbeat, seenAt
-		r.remember(heartbeat, seenAt)
+		r.remember(now, heartbeat, seenAt)
 		if newer {
 			r.hasStarted(now, heartbeat.ID)
 		}
