Tests: isolated hosts of a fleet let their time pass, too

An isolated host of the fleets in the tests sent nothing and also forgot nobody, because it did not prepare its heartbeats. A real one does, and removes the others from its view after 30 s. Now it prepares them, and they are lost.

The tests pass.

--- a/internal/host/host_fleet_test.go
+++ b/internal/host/host_fleet_test.go
@@ -89,10 +89,11 @@
 // not isolated.
 func (f *hostFleet) exchangeHeartbeats() {
 	for i, from := range f.hosts {
+		messages := from.roster.Heartbeats(f.now, fleetSlots)
 		if f.isolated[i] {
 			continue
 		}
-		for _, m := range from.roster.Heartbeats(f.now, fleetSlots) {
+		for _, m := range messages {
 			self := heartbeatToWire(from.roster.Self(), 0)
 			if !m.Full {
 				omitStaticFields(self)
