Roster: the package comment names what starting hosts are told

A reader of the package learned only from startedHostReplies that messages also name hosts that are silent. Comment only; the tests of the package pass.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -3,7 +3,8 @@
 //
 // Hosts that carry requests or read the store send heartbeats to every host of
 // the region and, through delegates, to one host of each other region. In a
-// large region the standby hosts send heartbeats to these hosts only.
+// large region the standby hosts send heartbeats to these hosts only. Hosts that
+// have run long tell those that start which hosts of the region are silent.
 // The package does no I/O; a Roster is not safe for concurrent use.
 package roster
 
