Report an entry of the store that is older than the held one

Change: event 1405 with both revisions. No change of what is applied.

Measured: TestEntryOlderThanTheHeldOneIsReported; without the call it fails with no report. The tests of inventory, events and host pass.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -176,7 +176,7 @@
 	{StoreHistoryGone, logrus.InfoLevel, "store-history-gone", fields(FieldSubject), "The store no longer has the history that a watch needs; the watch starts again with a listing."},
 	{StateFromPeer, logrus.InfoLevel, "state-from-peer", fields(FieldSubject, FieldPeer, FieldCount), "A collection of the store was pulled from a peer that had a newer version of it."},
 	{StoreRead, logrus.DebugLevel, "store-read", fields(FieldSubject, FieldCount, FieldGeneration), "A call to the store returned this many objects; the generation is the store's revision."},
-	{EntrySkipped, logrus.WarnLevel, "entry-skipped", fields(FieldSubject, FieldReason), "An entry of the store cannot be decoded and is skipped; the others are applied."},
+	{EntrySkipped, logrus.WarnLevel, "entry-skipped", fields(FieldSubject, FieldReason), "An entry of the store is skipped, because it cannot be decoded or its revision is older than the one held; the others are applied."},
 	{StoreReaderBegan, logrus.InfoLevel, "store-reader-began", nil, "The host now reads the store itself and notifies its peers."},
 	{StoreReaderEnded, logrus.InfoLevel, "store-reader-ended", nil, "The host no longer reads the store itself; it gets updates from its peers."},
 	{StoreLost, logrus.WarnLevel, "store-lost", fields(FieldElapsed), "The store has not responded for this long; peers are notified to read it instead."},
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -21,6 +22,10 @@
 // at once.
 const lapseWindow = 400 * time.Millisecond
 
+// errOlderRevision means that the store returned an entry with a lower revision than
+// the one that this host holds.
+var errOlderRevision = errors.New("revision is older than the one held")
+
 // State builds a view from objects of the store. It does no I/O and is not safe
 // for concurrent use.
 type State struct {
@@ -45,7 +50,7 @@
 }
 
 // NewState returns an empty state. onSkip is called for entries that can't be
-// decoded; they don't affect the others.
+// decoded or are older than the held ones; they don't affect the others.
 func NewState(decoder Decoder, onSkip func(Collection, Object, error)) *State {
 	return &State{
 		decoder: decoder,
@@ -169,6 +174,7 @@
 
 func (s *State) put(now time.Time, c Collection, o Object) {
 	if known, ok := s.objects[c][o.Name]; ok && known.Revision > o.Revision {
+		s.onSkip(c, o, fmt.Errorf("%w: %d, held is %d", errOlderRevision, o.Revision, known.Revision))
 		return
 	}
 	switch c {
--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -175,3 +175,14 @@
 		t.Errorf("the peer has %+v, want %+v", got, want)
 	}
 }
+
+// Guards against a change that stays unapplied without a trace.
+func TestEntryOlderThanTheHeldOneIsReported(t *testing.T) {
+	var reported []error
+	s := NewState(wordDecoder{}, func(_ Collection, _ Object, err error) { reported = append(reported, err) })
+	s.ApplyListing(start, Configuration, list(9, object("main", 9, "v2")))
+	s.ApplyListing(start, Configuration, list(9, object("main", 5, "v3")))
+	if len(reported) != 1 || !errors.Is(reported[0], errOlderRevision) {
+		t.Errorf("reported %v, want one entry with an older revision", reported)
+	}
+}
