Order what the store says by its era before its revision

What callers saw: after the store had been away for a moment, a route that the operator had added was refused at every host for as long as it was tried, while added servers were used at once. Servers that drained and failure domains that were evacuated got requests likewise.

Cause: a store may come back from an older copy. It then gives out revisions again, and states a higher era. Hosts took the revision for a clock that only rises: an entry with a lower revision than the held one was refused, also in the listing after a 410; a waiting watch went on from a revision that the store no longer had; and the marks that hosts send each other named the old content as the newer one.

Change: a position in the store is its era and its revision, ordered by the era first, with a type of its own in pkg/model. A higher era in any response ends all watches and has every collection listed again; what is left of an earlier era changes nothing. Messages between hosts have the era as an optional field; one that lacks it is of the era that the receiver holds. Where the copy contradicts what a host knows (servers that had left, missing ones, evacuations), it keeps to what it knows for a bounded time (docs/design.md, "Position in the store"). Events 1411 and 1412, and the gauges store_era and store_eras, tell a return from an older copy.

--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -77,6 +77,8 @@
 	StoreReaderBegan ID = 1408
 	StoreReaderEnded ID = 1409
 	StoreLost        ID = 1410
+	StoreRestored    ID = 1411
+	StoreEraUnstated ID = 1412
 
 	PromotionAccepted ID = 1500
 	PromotionRefused  ID = 1501
@@ -180,6 +182,8 @@
 	{StoreReaderBegan, logrus.InfoLevel, "store-reader-began", nil, "The host now reads the store itself and notifies its peers."},
 	{StoreReaderEnded, logrus.InfoLevel, "store-reader-ended", nil, "The host no longer reads the store itself; it gets updates from its peers."},
 	{StoreLost, logrus.WarnLevel, "store-lost", fields(FieldElapsed), "The store has not responded for this long; peers are notified to read it instead."},
+	{StoreRestored, logrus.WarnLevel, "store-restored", fields(FieldSubject, FieldPeer, FieldReason), "The store has come back from an older copy, in a higher era. The reason has the positions before and after of the collection that was read first, and the peer is the one that sent it, if this host did not read it from the store."},
+	{StoreEraUnstated, logrus.InfoLevel, "store-era-unstated", nil, "A response of the store does not state a valid era. The era that was stated last counts; a store that states none and comes back from an older copy is not recognized. Logged once; the counter store_eras has all."},
 	{HostListStale, logrus.WarnLevel, "host-list-stale", fields(FieldElapsed), "The platform's host list could not be read for this long."},
 
 	{PromotionAccepted, logrus.InfoLevel, "promotion-accepted", fields(FieldEnvironment, FieldGeneration, FieldAuthor), "A document was written to the store."},
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/internal/upstream"
 	"github.com/wisteriacrank/wisteriacrank/pkg/drain"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/retrybudget"
 	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 	"github.com/wisteriacrank/wisteriacrank/pkg/scheduler"
@@ -116,10 +117,10 @@
 	// verifiedAt is the time of the last check of the server after a lost
 	// connection.
 	verifiedAt time.Time
-	// coldRevision is the revision of the entry that was first seen at
-	// coldSeen. The remaining cold time in the entry counts from coldSeen.
-	coldRevision uint64
-	coldSeen     time.Time
+	// coldEntry is the position of the entry that was first seen at coldSeen. The
+	// remaining cold time in the entry counts from coldSeen.
+	coldEntry model.Position
+	coldSeen  time.Time
 }
 
 // New returns a host that is not running yet.
--- a/internal/host/malformed_test.go
+++ b/internal/host/malformed_test.go
@@ -28,7 +28,7 @@
 	if len(o.Body) == 0 {
 		return nil, errors.New("no body")
 	}
-	return fleet.NewConfig(o.Revision, nil, nil, fleet.Limits{}), nil
+	return fleet.NewConfig(o.Position.Revision, nil, nil, fleet.Limits{}), nil
 }
 
 func (textDecoder) Server(o inventory.Object) (fleet.BackendServer, error) {
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -22,6 +22,11 @@
 		made, failed := h.reader.Calls()
 		return map[string]int64{"made": made, "failed": failed}
 	})
+	h.Metrics.Gauge("store_era", func() any { return h.reader.Era() })
+	h.Metrics.Gauge("store_eras", func() any {
+		changes, unstated := h.reader.EraCounts()
+		return map[string]int{"changes": changes, "unstated": unstated}
+	})
 	h.Metrics.Gauge("crashing_requests", func() any {
 		suspected, convicted := h.crashes.counts(time.Now())
 		return map[string]int{"suspected": suspected, "convicted": convicted}
--- a/internal/host/pull.go
+++ b/internal/host/pull.go
@@ -41,8 +41,8 @@
 // and schedules a pull if the peer has newer content.
 func (h *Host) compareMark(c inventory.Collection, peer newerPeer) {
 	mine := h.reader.Mark(c)
-	if peer.mark.AsOf > 0 && peer.mark.Digest == mine.Digest && mine.AsOf > 0 {
-		if peer.mark.AsOf > mine.AsOf {
+	if !peer.mark.AsOf.IsZero() && peer.mark.SameContent(mine) && !mine.AsOf.IsZero() {
+		if peer.mark.AsOf.After(mine.AsOf) {
 			h.reader.Confirm(c, peer.mark.AsOf)
 		}
 		return
@@ -55,7 +55,7 @@
 	case newer && !waiting:
 		h.newer[c] = peer
 		h.wakePuller()
-	case newer && (current.remote && !peer.remote || current.remote == peer.remote && peer.mark.AsOf > current.mark.AsOf):
+	case newer && (current.remote && !peer.remote || current.remote == peer.remote && peer.mark.AsOf.After(current.mark.AsOf)):
 		peer.since, peer.alternates = current.since, current.alternates
 		peer.addAlternate(current.address)
 		h.newer[c] = peer
@@ -93,7 +93,7 @@
 
 // isNewer reports whether the first mark is that of newer content.
 func isNewer(theirs, mine inventory.Mark) bool {
-	return theirs.AsOf > mine.AsOf && (theirs.Digest != mine.Digest || mine.AsOf == 0)
+	return !theirs.AsOf.IsZero() && theirs.AsOf.After(mine.AsOf) && (!theirs.SameContent(mine) || mine.AsOf.IsZero())
 }
 
 // wakePuller makes pullNewer check at once for due pulls.
@@ -158,7 +158,7 @@
 // It is called with newerMu held.
 func (h *Host) pullWait(peer newerPeer, mine inventory.Mark) time.Duration {
 	switch {
-	case mine.AsOf == 0:
+	case mine.AsOf.IsZero(), peer.mark.AsOf.Era > mine.AsOf.Era:
 		return 0
 	case !peer.remote:
 		return pullAfter
@@ -199,10 +199,7 @@
 		if !h.isWatched(snapshot.GetCollection()) {
 			continue
 		}
-		batch := inventory.Batch{Revision: snapshot.GetAsOf()}
-		for _, o := range snapshot.GetObjects() {
-			batch.Objects = append(batch.Objects, objectFromWire(o))
-		}
+		batch := snapshotFromWire(snapshot, h.heldEra(snapshot.GetCollection()))
 		c := inventory.Collection(snapshot.GetCollection())
 		change, changed := h.reader.ApplyListing(c, batch, address)
 		h.Log.Emit(events.StateFromPeer, events.Subject(c.String()), events.Peer(address), events.Count(len(batch.Objects)))
--- a/internal/host/pull_test.go
+++ b/internal/host/pull_test.go
@@ -7,6 +7,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
 // stubDecoder decodes every object to an empty server, or to an empty
@@ -14,7 +15,7 @@
 type stubDecoder struct{}
 
 func (stubDecoder) Config(o inventory.Object) (*fleet.Config, error) {
-	return fleet.NewConfig(o.Revision, nil, nil, fleet.Limits{}), nil
+	return fleet.NewConfig(o.Position.Revision, nil, nil, fleet.Limits{}), nil
 }
 
 func (stubDecoder) Server(inventory.Object) (fleet.BackendServer, error) {
@@ -22,7 +23,8 @@
 }
 
 func configurationAt(revision uint64) inventory.Batch {
-	return inventory.Batch{Revision: revision, Objects: []inventory.Object{{Name: "main", Revision: revision}}}
+	at := model.Position{Revision: revision}
+	return inventory.Batch{Position: at, Objects: []inventory.Object{{Name: "main", Position: at}}}
 }
 
 // newHost returns a host that holds the configuration at revision 5.
@@ -33,7 +35,7 @@
 }
 
 func newerPeerAt(address string, revision uint64, at time.Time) newerPeer {
-	return newerPeer{address: address, mark: inventory.Mark{AsOf: revision, Digest: revision}, since: at, remote: true}
+	return newerPeer{address: address, mark: inventory.Mark{AsOf: model.Position{Revision: revision}, Digest: revision}, since: at, remote: true}
 }
 
 // Guards against pulls of content that the region's own readers have delivered
--- a/internal/host/response_memory_test.go
+++ b/internal/host/response_memory_test.go
@@ -28,7 +28,7 @@
 
 func (routeDecoder) Config(o inventory.Object) (*fleet.Config, error) {
 	route := &fleet.Route{Name: "read", Host: "h", Prefix: "/", Kind: fleet.Idempotent, TargetLatency: time.Second, MaxAttempts: 2, Parts: []fleet.Part{{Service: "desk", Weight: 1}}}
-	return fleet.NewConfig(o.Revision, []*fleet.Route{route}, map[string]*fleet.Service{"desk": {Name: "desk", HealthPath: "/health"}}, fleet.Limits{}), nil
+	return fleet.NewConfig(o.Position.Revision, []*fleet.Route{route}, map[string]*fleet.Service{"desk": {Name: "desk", HealthPath: "/health"}}, fleet.Limits{}), nil
 }
 
 func (routeDecoder) Server(o inventory.Object) (fleet.BackendServer, error) {
--- a/internal/host/storesync.go
+++ b/internal/host/storesync.go
@@ -8,6 +8,7 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire"
 	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/result"
 )
 
@@ -44,7 +45,7 @@
 // of a collection reads it itself, which is faster than finding peers first.
 func (h *Host) readsStore(now time.Time) bool {
 	for _, c := range inventory.WatchedCollections {
-		if h.reader.Mark(c).AsOf == 0 {
+		if h.reader.Mark(c).AsOf.IsZero() {
 			return true
 		}
 	}
@@ -90,26 +91,6 @@
 	return bytes
 }
 
-func changeToWire(change inventory.Change) *wirepb.CollectionChange {
-	pushed := &wirepb.CollectionChange{Collection: uint32(change.Collection), FromDigest: change.Before.Digest, AsOf: change.After.AsOf}
-	for _, o := range change.Objects {
-		pushed.Objects = append(pushed.Objects, objectToWire(o))
-	}
-	return pushed
-}
-
-func markToWire(c inventory.Collection, mark inventory.Mark) *wirepb.CollectionState {
-	return &wirepb.CollectionState{Collection: uint32(c), AsOf: mark.AsOf, Digest: mark.Digest}
-}
-
-func objectToWire(o inventory.Object) *wirepb.StoredObject {
-	return &wirepb.StoredObject{Name: o.Name, Revision: o.Revision, Body: o.Body, Deleted: o.Deleted}
-}
-
-func objectFromWire(o *wirepb.StoredObject) inventory.Object {
-	return inventory.Object{Name: o.GetName(), Revision: o.GetRevision(), Body: o.GetBody(), Deleted: o.GetDeleted()}
-}
-
 // applyCollections applies the pushed changes, server uses and collection marks
 // in a heartbeat.
 func (h *Host) applyCollections(now time.Time, message *wirepb.Heartbeat) {
@@ -117,14 +98,7 @@
 		if !h.isWatched(pushed.GetCollection()) {
 			continue
 		}
-		change := inventory.Change{
-			Collection: inventory.Collection(pushed.GetCollection()),
-			Before:     inventory.Mark{Digest: pushed.GetFromDigest()},
-			After:      inventory.Mark{AsOf: pushed.GetAsOf()},
-		}
-		for _, o := range pushed.GetObjects() {
-			change.Objects = append(change.Objects, objectFromWire(o))
-		}
+		change := changeFromWire(pushed, h.heldEra(pushed.GetCollection()))
 		if !h.reader.ApplyChange(change, message.GetSelf().GetId()) {
 			h.Metrics.Add("pushes_out_of_order", 1)
 		}
@@ -142,13 +116,19 @@
 		}
 		h.compareMark(inventory.Collection(state.GetCollection()), newerPeer{
 			address: peer.PeerAddress,
-			mark:    inventory.Mark{AsOf: state.GetAsOf(), Digest: state.GetDigest()},
+			mark:    markFromWire(state, h.heldEra(state.GetCollection())),
 			since:   now,
 			remote:  peer.Region != h.Settings.Region,
 		})
 	}
 }
 
+// heldEra returns the era of this host's content of a collection. Messages of hosts that
+// don't know eras are taken to be of that era.
+func (h *Host) heldEra(collection uint32) model.Era {
+	return h.reader.Mark(inventory.Collection(collection)).AsOf.Era
+}
+
 // isWatched reports whether a number from a peer is that of a collection; others
 // are counted as invalid input.
 func (h *Host) isWatched(number uint32) bool {
@@ -172,11 +152,7 @@
 	reply := &wirepb.SnapshotReply{}
 	for _, collection := range env.GetSnapshotPull().GetCollections() {
 		batch := s.host.reader.Snapshot(inventory.Collection(collection))
-		snapshot := &wirepb.CollectionSnapshot{Collection: collection, AsOf: batch.Revision}
-		for _, o := range batch.Objects {
-			snapshot.Objects = append(snapshot.Objects, objectToWire(o))
-		}
-		reply.Collections = append(reply.Collections, snapshot)
+		reply.Collections = append(reply.Collections, snapshotToWire(collection, batch))
 	}
 	if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_SnapshotReply{SnapshotReply: reply}}); err != nil {
 		s.host.Log.Emit(events.PeerConnectionLost, events.Reason(err))
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -164,8 +164,8 @@
 // coldUntil returns the end of the cold time in a server's entry, which counts
 // from when the entry was first seen.
 func (b *backend) coldUntil(now time.Time, server fleet.BackendServer) time.Time {
-	if b.coldRevision != server.Revision {
-		b.coldRevision, b.coldSeen = server.Revision, now
+	if b.coldEntry != server.Entry {
+		b.coldEntry, b.coldSeen = server.Entry, now
 	}
 	return b.coldSeen.Add(min(server.ColdRemaining, maxColdTime))
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
 // Collection is a group of objects in the store.
@@ -48,17 +49,29 @@
 
 // Object is one object of the store.
 type Object struct {
-	Name     string          `json:"name"`
-	Revision uint64          `json:"revision"`
-	Body     json.RawMessage `json:"body,omitempty"`
-	Deleted  bool            `json:"deleted,omitempty"`
+	Name string
+	// Position is where the object was changed last. Its era is that of the listing or
+	// the change with which the object was read.
+	Position model.Position
+	Body     json.RawMessage
+	Deleted  bool
 }
 
-// Batch is a listing of a whole collection, or the changes since a revision.
+// Batch is a listing of a whole collection, or the changes since a position.
 type Batch struct {
 	Objects []Object
-	// Revision is where the next watch continues.
-	Revision uint64
+	// Position is where the next watch continues.
+	Position model.Position
+}
+
+// InEra returns the batch and its objects with their positions in the era.
+func (b Batch) InEra(era model.Era) Batch {
+	objects := make([]Object, len(b.Objects))
+	for i, o := range b.Objects {
+		o.Position.Era = era
+		objects[i] = o
+	}
+	return Batch{Objects: objects, Position: model.Position{Era: era, Revision: b.Position.Revision}}
 }
 
 // Errors of a Source.
@@ -69,16 +82,22 @@
 	ErrUnavailable = errors.New("store unavailable")
 )
 
-// Source reads the store.
+// Source reads the store. A response that states no valid era belongs to the one that was
+// stated last, or to era 0 if none was.
 type Source interface {
 	// List returns a whole collection.
 	List(ctx context.Context, c Collection) (Batch, error)
-	// Watch returns the changes after the revision as soon as there are any, or
-	// none after a time that the Source chooses.
-	Watch(ctx context.Context, c Collection, after uint64) (Batch, error)
+	// Watch returns the changes after the position as soon as there are any, or
+	// none after a time that the Source chooses. The batch belongs to a later era if
+	// the store has come back from an older copy while the watch waited.
+	Watch(ctx context.Context, c Collection, after model.Position) (Batch, error)
 	// Probe returns nil if the store serves this host. It costs less than the
 	// other calls.
 	Probe(ctx context.Context) error
+	// OnEra sets the function that is called with the era in each response of the
+	// store, also to calls that failed, before the call returns. stated is false if
+	// the response did not state a valid one.
+	OnEra(observe func(era model.Era, stated bool))
 }
 
 // Decoder decodes the bodies of objects.
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -74,6 +74,9 @@
 	// cancelWatch cancels the latest watch of a collection, for when the watch may
 	// no longer return changes.
 	cancelWatch map[Collection]context.CancelFunc
+	eras        eras
+	// relist are the collections whose history the store may have dropped.
+	relist map[Collection]bool
 
 	view               atomic.Pointer[View]
 	onView             func(*View)
@@ -104,6 +107,7 @@
 		probeResponded: make(chan struct{}),
 		cancelWatch:    make(map[Collection]context.CancelFunc),
 		confirmedAt:    make(map[Collection]time.Time),
+		relist:         make(map[Collection]bool),
 	}
 	r.state = NewState(decoder, r.logSkippedEntry)
 	r.view.Store(r.state.View())
@@ -129,6 +133,7 @@
 
 // Run reads the store until ctx is done.
 func (r *Reader) Run(ctx context.Context) {
+	r.source.OnEra(r.observeEra)
 	var wg sync.WaitGroup
 	for _, c := range WatchedCollections {
 		wg.Go(func() { r.keepRunning(ctx, c.String(), func() { r.readCollection(ctx, c) }) })
@@ -176,7 +181,7 @@
 	pause := newPause()
 	for ctx.Err() == nil {
 		after, responded := r.Mark(c).AsOf, r.nextProbeResponse()
-		if after > 0 && !r.role(r.now()) {
+		if !after.IsZero() && !r.role(r.now()) {
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
@@ -184,14 +189,21 @@
 			waitFor(ctx, responded, roleCheckInterval)
 			continue
 		}
-		if after == 0 {
+		if r.needsListing(c) {
+			era := r.Era()
 			batch, err := r.source.List(ctx, c)
 			if !r.recordCall(ctx, c, err) {
 				pause.wait(ctx)
 				continue
 			}
-			r.applyRead(c, batch, true)
-			after = batch.Revision
+			batch = r.inKnownEra(batch, era)
+			if batch.Position.Era < r.Era() {
+				// The store has changed its era since it responded.
+				pause.wait(ctx)
+				continue
+			}
+			r.applyListed(c, after, batch)
+			after = batch.Position
 		}
 		pause.reset()
 		if r.watch(ctx, c, after, pause) {
@@ -200,13 +212,34 @@
 	}
 }
 
+// needsListing reports whether a collection has to be listed before it is watched.
+func (r *Reader) needsListing(c Collection) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.needsListingLocked(c)
+}
+
+// needsListingLocked is needsListing with the lock held.
+func (r *Reader) needsListingLocked(c Collection) bool {
+	asOf := r.state.asOf[c]
+	return asOf.IsZero() || asOf.Era < r.eras.known || r.relist[c]
+}
+
+// canWatch reports whether a collection can be watched from the position. A peer may
+// have sent the content of a later era.
+func (r *Reader) canWatch(c Collection, after model.Position) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.needsListingLocked(c) && after.Era == r.state.asOf[c].Era
+}
+
 // relistAll has all collections listed again: a store that has dropped its
 // history may have dropped every watch without ending the calls.
 func (r *Reader) relistAll(except Collection) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range WatchedCollections {
-		r.state.asOf[c] = 0
+		r.relist[c] = true
 		if cancel := r.cancelWatch[c]; cancel != nil && c != except {
 			cancel()
 		}
@@ -214,9 +247,9 @@
 }
 
 // watch watches a collection until the role of this host ends, the store is
-// lost, or its history is gone.
-func (r *Reader) watch(ctx context.Context, c Collection, after uint64, pause *pause) (historyGone bool) {
-	for ctx.Err() == nil && r.role(r.now()) {
+// lost or in a later era, or its history is gone.
+func (r *Reader) watch(ctx context.Context, c Collection, after model.Position, pause *pause) (historyGone bool) {
+	for ctx.Err() == nil && r.role(r.now()) && r.canWatch(c, after) {
 		watchCtx, cancel := context.WithCancel(ctx)
 		if !r.beginWatch(c, after, cancel) {
 			cancel()
@@ -237,9 +270,16 @@
 			pause.wait(ctx)
 			continue
 		}
+		batch = r.inKnownEra(batch, after.Era)
+		if batch.Position.Era != after.Era {
+			// The changes of the new era before this watch are not among them, or the
+			// response is one of an earlier era.
+			pause.wait(ctx)
+			continue
+		}
 		pause.reset()
-		r.applyRead(c, batch, false)
-		after = batch.Revision
+		r.applyChanges(c, batch)
+		after = batch.Position
 		if c == Servers && len(batch.Objects) > 0 {
 			sleep(ctx, serverBatchInterval)
 		}
@@ -247,11 +287,29 @@
 	return false
 }
 
-// applyRead applies what was read from the store, and forwards the change.
-func (r *Reader) applyRead(c Collection, batch Batch, whole bool) {
+// applyListed applies a listing of the store. held is the position that this host held
+// when the call began: a listing from before it shows that the store has gone back.
+func (r *Reader) applyListed(c Collection, held model.Position, batch Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.relist, c)
+	if batch.Position.Era == held.Era && batch.Position.Before(held) {
+		r.state.Restart(c)
+	}
+	r.applyRead(c, batch, true)
+}
+
+// applyChanges applies what a watch has returned.
+func (r *Reader) applyChanges(c Collection, batch Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.log.Emit(events.StoreRead, events.Subject(c.String()), events.Count(len(batch.Objects)), events.Generation(model.Generation(batch.Revision)))
+	r.applyRead(c, batch, false)
+}
+
+// applyRead applies what was read from the store, and forwards the change. It is called
+// with the lock held.
+func (r *Reader) applyRead(c Collection, batch Batch, whole bool) {
+	r.log.Emit(events.StoreRead, events.Subject(c.String()), events.Count(len(batch.Objects)), events.Generation(model.Generation(batch.Position.Revision)))
 	if change, changed := r.apply(c, batch, whole, ""); changed {
 		r.onChange(change)
 	}
@@ -270,9 +328,10 @@
 		r.state.ApplyChanges(now, c, batch)
 	}
 	change.After = r.state.Mark(c)
-	if change.After.Digest == change.Before.Digest {
+	if change.After.SameContent(change.Before) {
 		return change, false
 	}
+	r.logEra(change, sender)
 	r.publish(sender)
 	return change, true
 }
@@ -297,18 +356,18 @@
 	defer r.mu.Unlock()
 	c := change.Collection
 	current := r.state.Mark(c)
-	if current.Digest != change.Before.Digest || current.AsOf == 0 || change.After.AsOf < current.AsOf {
+	if !current.SameContent(change.Before) || current.AsOf.IsZero() || change.After.AsOf.Before(current.AsOf) {
 		return false
 	}
-	r.apply(c, Batch{Objects: change.Objects, Revision: change.After.AsOf}, false, sender)
+	r.apply(c, Batch{Objects: change.Objects, Position: change.After.AsOf}, false, sender)
 	return true
 }
 
-// Confirm records that a peer holds the same content for a later revision.
-func (r *Reader) Confirm(c Collection, asOf uint64) {
+// Confirm records that a peer holds the same content for a later position.
+func (r *Reader) Confirm(c Collection, asOf model.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state.asOf[c] > 0 {
+	if held := r.state.asOf[c]; !held.IsZero() && held.Era == asOf.Era {
 		r.confirmedAt[c] = r.now()
 		r.state.confirm(c, asOf)
 	}
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
 // configBound is the time within which a confirmed change has to be applied.
@@ -127,7 +128,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	batch := Batch{Revision: s.revision}
+	batch := Batch{Position: at(s.revision)}
 	if c == Configuration {
 		batch.Objects = []Object{s.config}
 	}
@@ -135,7 +136,7 @@
 }
 
 // Watch implements Source.
-func (s *faultyStore) Watch(ctx context.Context, c Collection, after uint64) (Batch, error) {
+func (s *faultyStore) Watch(ctx context.Context, c Collection, after model.Position) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	epoch := s.begin(ctx, &s.calls)
@@ -145,8 +146,8 @@
 			return Batch{}, err
 		}
 		s.mu.Lock()
-		batch, changed, gone := Batch{Revision: s.revision}, s.changed, after < s.oldest
-		if c == Configuration && s.config.Revision > after {
+		batch, changed, gone := Batch{Position: at(s.revision)}, s.changed, after.Before(at(s.oldest))
+		if c == Configuration && s.config.Position.After(after) {
 			batch.Objects = []Object{s.config}
 		}
 		s.mu.Unlock()
@@ -171,6 +172,9 @@
 	return s.waitForResponse(ctx, epoch)
 }
 
+// OnEra implements Source.
+func (s *faultyStore) OnEra(func(model.Era, bool)) {}
+
 // runReader runs a reader until the test ends.
 func runReader(t *testing.T, store *faultyStore, role Role) *Reader {
 	return runReaderWith(t, store, role, func(Change) {})
--- a/internal/inventory/stale_test.go
+++ b/internal/inventory/stale_test.go
@@ -20,19 +20,19 @@
 		live := make(map[string]bool)
 		for i := range rapid.IntRange(1, 20).Draw(t, "changes") {
 			name := rapid.SampledFrom(names).Draw(t, "server")
-			o := Object{Name: name, Revision: uint64(i + 1), Body: []byte("ready"), Deleted: live[name] && rapid.Bool().Draw(t, "leaves")}
+			o := Object{Name: name, Position: at(uint64(i + 1)), Body: []byte("ready"), Deleted: live[name] && rapid.Bool().Draw(t, "leaves")}
 			live[name] = !o.Deleted
 			history = append(history, o)
 		}
 		s := NewState(wordDecoder{}, func(Collection, Object, error) {})
 		now := time.Unix(0, 0)
-		s.ApplyListing(now, Servers, Batch{Revision: 0})
+		s.ApplyListing(now, Servers, Batch{})
 		applied := 0
 		for range rapid.IntRange(1, 30).Draw(t, "batches") {
 			// A watch from any revision up to the present one, which returns a part.
 			from := rapid.IntRange(0, applied).Draw(t, "from")
 			to := rapid.IntRange(from, len(history)).Draw(t, "to")
-			s.ApplyChanges(now, Servers, Batch{Objects: history[from:to], Revision: uint64(to)})
+			s.ApplyChanges(now, Servers, Batch{Objects: history[from:to], Position: at(uint64(to))})
 			applied = max(applied, to)
 			want := make(map[string]bool)
 			for _, o := range history[:applied] {
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/rendezvous"
 )
 
@@ -34,14 +35,18 @@
 
 	view    View
 	objects map[Collection]map[string]Object
-	// asOf is the revision of the store for which a collection is valid.
-	asOf map[Collection]uint64
+	// asOf is the position in the store's history for which a collection is valid. All
+	// objects of the collection belong to its era.
+	asOf map[Collection]model.Position
 	// digests are updated with the objects; see Mark.
 	digests map[Collection]uint64
 	// lapsed are the servers that this host still uses although their entries have
 	// expired, with the time until which it does. They are not part of marks and
 	// snapshots.
 	lapsed map[string]time.Time
+	// restored has what a host still knows from before the store came back from an older
+	// copy. It is not part of marks and snapshots.
+	restored restored
 	// changed are the servers that differ from those in the latest view.
 	changed         map[string]bool
 	recoveredAt     time.Time
@@ -60,11 +65,12 @@
 			Evacuated:  make(map[string]bool),
 			ReleasedAt: make(map[string]time.Time),
 		},
-		objects: map[Collection]map[string]Object{Configuration: {}, Servers: {}, Evacuations: {}},
-		asOf:    make(map[Collection]uint64),
-		digests: make(map[Collection]uint64),
-		lapsed:  make(map[string]time.Time),
-		changed: make(map[string]bool),
+		objects:  map[Collection]map[string]Object{Configuration: {}, Servers: {}, Evacuations: {}},
+		asOf:     make(map[Collection]model.Position),
+		digests:  make(map[Collection]uint64),
+		lapsed:   make(map[string]time.Time),
+		restored: newRestored(),
+		changed:  make(map[string]bool),
 	}
 }
 
@@ -78,24 +84,30 @@
 	}
 }
 
+// Restart forgets the position of a collection, for a listing of a store that has gone
+// back without stating a later era.
+func (s *State) Restart(c Collection) { s.asOf[c] = model.Position{Era: s.asOf[c].Era} }
+
 // ApplyListing replaces a whole collection. A listing that is older than the
 // current content changes nothing.
 func (s *State) ApplyListing(now time.Time, c Collection, batch Batch) {
-	if batch.Revision < s.asOf[c] || !c.IsWatched() {
+	if batch.Position.Before(s.asOf[c]) || !c.IsWatched() {
 		return
 	}
+	newEra := s.enterEra(now, c, batch.Position.Era)
 	s.openLapseWindow(now, c)
 	listed := make(map[string]bool, len(batch.Objects))
 	for _, o := range batch.Objects {
 		listed[o.Name] = true
-		s.put(now, c, o)
+		s.put(now, c, o, newEra)
 	}
 	for name := range s.objects[c] {
 		if !listed[name] {
-			s.remove(now, c, name)
+			s.remove(now, c, name, newEra)
 		}
 	}
-	s.confirm(c, batch.Revision)
+	s.keepInEra(c, batch.Position.Era)
+	s.confirm(c, batch.Position)
 }
 
 // Diff returns the changes that turn the current content into that of a listing.
@@ -104,13 +116,13 @@
 	listed := make(map[string]bool, len(batch.Objects))
 	for _, o := range batch.Objects {
 		listed[o.Name] = true
-		if known, ok := s.objects[c][o.Name]; !ok || known.Revision < o.Revision {
+		if known, ok := s.objects[c][o.Name]; !ok || known.Position.Before(o.Position) {
 			changes = append(changes, o)
 		}
 	}
 	for name := range s.objects[c] {
 		if !listed[name] {
-			changes = append(changes, Object{Name: name, Revision: batch.Revision, Deleted: true})
+			changes = append(changes, Object{Name: name, Position: batch.Position, Deleted: true})
 		}
 	}
 	return changes
@@ -118,37 +130,55 @@
 
 // ApplyChanges applies the changes of a collection. Changes that the content
 // includes already are skipped: a peer may have reported later ones, and a server
-// that has left would be used again.
+// that has left would be used again. Changes of an earlier era no longer apply.
 func (s *State) ApplyChanges(now time.Time, c Collection, batch Batch) {
-	if !c.IsWatched() {
+	if !c.IsWatched() || batch.Position.Era < s.asOf[c].Era {
 		return
 	}
+	newEra := s.enterEra(now, c, batch.Position.Era)
 	s.openLapseWindow(now, c)
 	for _, o := range batch.Objects {
 		known, ok := s.objects[c][o.Name]
 		switch {
-		case o.Deleted && (!ok || known.Revision <= o.Revision || o.Revision == 0):
-			s.remove(now, c, o.Name)
-		case !o.Deleted && o.Revision > s.asOf[c]:
-			s.put(now, c, o)
+		case o.Deleted && (!ok || !known.Position.After(o.Position) || o.Position.IsZero()):
+			s.remove(now, c, o.Name, newEra)
+		case !o.Deleted && o.Position.After(s.asOf[c]):
+			s.put(now, c, o, newEra)
 		}
 	}
-	s.confirm(c, batch.Revision)
+	s.keepInEra(c, batch.Position.Era)
+	s.confirm(c, batch.Position)
 }
 
-func (s *State) confirm(c Collection, revision uint64) {
-	s.asOf[c] = max(s.asOf[c], revision)
+// keepInEra moves the configuration that the store has lost, and that stays in effect,
+// to before all of the era.
+func (s *State) keepInEra(c Collection, era model.Era) {
+	for _, o := range s.objects[c] {
+		if o.Position.Era < era {
+			o.Position = model.Position{Era: era}
+			s.setObject(c, o)
+		}
+	}
+}
+
+func (s *State) confirm(c Collection, at model.Position) {
+	s.asOf[c] = s.asOf[c].Later(at)
 }
 
 // Mark identifies the content of a collection.
 type Mark struct {
-	// AsOf is the revision of the store for which the content is valid; 0 if the
-	// collection was never read.
-	AsOf uint64
-	// Digest is equal for equal content.
+	// AsOf is the position for which the content is valid; zero if the collection was
+	// never read.
+	AsOf model.Position
+	// Digest is equal for equal content of one era.
 	Digest uint64
 }
 
+// SameContent reports whether both marks are those of the same content.
+func (m Mark) SameContent(other Mark) bool {
+	return m.Digest == other.Digest && m.AsOf.Era == other.AsOf.Era
+}
+
 // Mark returns the mark of a collection.
 func (s *State) Mark(c Collection) Mark {
 	return Mark{AsOf: s.asOf[c], Digest: s.digests[c]}
@@ -168,13 +198,20 @@
 	}
 }
 
+// digestOf leaves the era out, so that hosts that don't know eras compute the same.
 func digestOf(o Object) uint64 {
-	return rendezvous.Score(o.Name, strconv.FormatUint(o.Revision, 10))
+	return rendezvous.Score(o.Name, strconv.FormatUint(o.Position.Revision, 10))
 }
 
-func (s *State) put(now time.Time, c Collection, o Object) {
-	if known, ok := s.objects[c][o.Name]; ok && known.Revision > o.Revision {
-		s.onSkip(c, o, fmt.Errorf("%w: %d, held is %d", errOlderRevision, o.Revision, known.Revision))
+// put adds or replaces an object; the held one is left as it is. newEra is true if it is read with the first content
+// of an era.
+func (s *State) put(now time.Time, c Collection, o Object, newEra bool) {
+	known, ok := s.objects[c][o.Name]
+	if ok && known.Position == o.Position {
+		return
+	}
+	if ok && known.Position.After(o.Position) {
+		s.onSkip(c, o, fmt.Errorf("%w: %v, held is %v", errOlderRevision, o.Position, known.Position))
 		return
 	}
 	switch c {
@@ -184,18 +221,41 @@
 		server, err := s.decodeServer(o)
 		if err != nil {
 			s.onSkip(c, o, err)
-			s.remove(now, c, o.Name)
+			s.remove(now, c, o.Name, newEra)
 			return
 		}
-		delete(s.lapsed, o.Name)
-		s.view.Servers[o.Name] = server
-		s.changed[o.Name] = true
+		s.putServer(now, o, server, newEra)
 	case Evacuations:
-		s.view.Evacuated[o.Name] = true
+		s.putEvacuation(now, o.Name, newEra)
 	}
 	s.setObject(c, o)
 }
 
+func (s *State) putServer(now time.Time, o Object, server fleet.BackendServer, newEra bool) {
+	if newEra && s.keepLaterStart(now, o.Name, server) {
+		return
+	}
+	if newEra && s.hadLeft(o, server) {
+		server.State = fleet.Draining
+		s.restored.left[o.Name] = now.Add(leaveGrace)
+	} else {
+		delete(s.restored.left, o.Name)
+		delete(s.restored.departed, o.Name)
+	}
+	delete(s.lapsed, o.Name)
+	s.view.Servers[o.Name] = server
+	s.changed[o.Name] = true
+}
+
+func (s *State) putEvacuation(now time.Time, domain string, newEra bool) {
+	if newEra && !s.view.Evacuated[domain] && s.wasReleased(now, domain) {
+		s.restored.evacuations[domain] = now.Add(lapseGrace)
+		return
+	}
+	delete(s.restored.evacuations, domain)
+	s.view.Evacuated[domain] = true
+}
+
 // decodeServer decodes an entry of the list of servers. An entry for which the
 // decoder panics is skipped like any other that can't be decoded.
 func (s *State) decodeServer(o Object) (server fleet.BackendServer, err error) {
@@ -227,34 +287,57 @@
 	}
 }
 
-func (s *State) remove(now time.Time, c Collection, name string) {
+func (s *State) remove(now time.Time, c Collection, name string, newEra bool) {
 	switch c {
 	case Configuration:
 		// The last version stays in effect.
 	case Servers:
+		s.removeServer(now, name, newEra)
+	case Evacuations:
 		s.deleteObject(c, name)
-		server, ok := s.view.Servers[name]
-		if ok && server.State == fleet.Ready && now.Before(s.lapseWindowEnd) {
-			s.lapsed[name] = s.recoveredAt.Add(lapseGrace)
+		if newEra && s.view.Evacuated[name] {
+			s.restored.evacuations[name] = now.Add(lapseGrace)
 			return
 		}
-		if _, lapsed := s.lapsed[name]; !lapsed {
-			delete(s.view.Servers, name)
-			s.changed[name] = true
-		}
-	case Evacuations:
-		if s.view.Evacuated[name] {
-			s.view.ReleasedAt[name] = now
-		}
-		delete(s.view.Evacuated, name)
-		s.deleteObject(c, name)
+		s.release(now, name)
+	}
+}
+
+func (s *State) removeServer(now time.Time, name string, newEra bool) {
+	held := s.objects[Servers][name]
+	s.deleteObject(Servers, name)
+	server, ok := s.view.Servers[name]
+	if ok {
+		s.restored.departed[name] = departure{at: now, entry: held.Position, startUnixMillis: server.StartUnixMillis}
+	}
+	if ok && server.State == fleet.Ready && newEra {
+		s.lapsed[name] = now.Add(lapseGrace)
+		return
+	}
+	if ok && server.State == fleet.Ready && now.Before(s.lapseWindowEnd) {
+		s.lapsed[name] = s.recoveredAt.Add(lapseGrace)
+		return
+	}
+	if _, lapsed := s.lapsed[name]; lapsed {
+		return
+	}
+	delete(s.restored.left, name)
+	delete(s.view.Servers, name)
+	s.changed[name] = true
+}
+
+func (s *State) release(now time.Time, domain string) {
+	if s.view.Evacuated[domain] {
+		s.view.ReleasedAt[domain] = now
 	}
+	delete(s.view.Evacuated, domain)
+	delete(s.restored.evacuations, domain)
 }
 
-// Expire removes lapsed servers that did not register again in time. It reports
-// whether the view changed.
+// Expire removes lapsed servers that did not register again in time, and ends what
+// is kept from before an era. It reports whether the view changed.
 func (s *State) Expire(now time.Time) bool {
-	changed := false
+	changed := s.expireRestored(now)
 	for name, until := range s.lapsed {
 		if now.Before(until) {
 			continue
@@ -281,7 +364,7 @@
 
 // Snapshot returns a collection, for a peer.
 func (s *State) Snapshot(c Collection) Batch {
-	batch := Batch{Revision: s.asOf[c]}
+	batch := Batch{Position: s.asOf[c]}
 	for _, o := range s.objects[c] {
 		batch.Objects = append(batch.Objects, o)
 	}
--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
 var start = time.Unix(1000, 0)
@@ -37,12 +38,15 @@
 	return NewState(wordDecoder{}, func(Collection, Object, error) { skipped++ }), &skipped
 }
 
+// at returns a position in a store that states no era.
+func at(revision uint64) model.Position { return model.Position{Revision: revision} }
+
 func object(name string, revision uint64, body string) Object {
-	return Object{Name: name, Revision: revision, Body: []byte(body)}
+	return Object{Name: name, Position: at(revision), Body: []byte(body)}
 }
 
 func list(revision uint64, objects ...Object) Batch {
-	return Batch{Revision: revision, Objects: objects}
+	return Batch{Position: at(revision), Objects: objects}
 }
 
 // Guards against an older version that takes effect after a newer one, through a
@@ -52,7 +56,7 @@
 	s.ApplyListing(start, Configuration, list(5, object("main", 5, "v2")))
 	s.ApplyChanges(start, Configuration, list(9, object("main", 9, "v1")))
 	s.ApplyChanges(start, Configuration, list(10, object("main", 10, "rubbish")))
-	s.ApplyChanges(start, Configuration, list(11, Object{Name: "main", Revision: 11, Deleted: true}))
+	s.ApplyChanges(start, Configuration, list(11, Object{Name: "main", Position: at(11), Deleted: true}))
 	s.ApplyListing(start, Configuration, list(3, object("main", 3, "v1")))
 	if got := s.View().Config.Version; got != 2 {
 		t.Errorf("version %d is in effect, want 2", got)
@@ -103,7 +107,7 @@
 	recoveredAt := start.Add(10 * time.Second)
 	s.RecordStoreRecovery(recoveredAt)
 	s.ApplyListing(recoveredAt, Servers, list(20, object("a", 1, "ready"), object("b", 2, "ready")))
-	s.ApplyChanges(recoveredAt.Add(1200*time.Millisecond), Servers, list(21, Object{Name: "a", Revision: 21, Deleted: true}))
+	s.ApplyChanges(recoveredAt.Add(1200*time.Millisecond), Servers, list(21, Object{Name: "a", Position: at(21), Deleted: true}))
 	if _, ok := s.View().Servers["a"]; ok {
 		t.Error("a server that was removed after the outage is kept")
 	}
@@ -148,7 +152,7 @@
 		t.Fatal("evacuation is not in the view")
 	}
 	released := start.Add(5 * time.Second)
-	s.ApplyChanges(released, Evacuations, list(8, Object{Name: "west-a", Revision: 8, Deleted: true}))
+	s.ApplyChanges(released, Evacuations, list(8, Object{Name: "west-a", Position: at(8), Deleted: true}))
 	view := s.View()
 	if view.Evacuated["west-a"] || !view.ReleasedAt["west-a"].Equal(released) {
 		t.Errorf("evacuated %v, released %v", view.Evacuated, view.ReleasedAt)
--- a/internal/inventory/supervise.go
+++ b/internal/inventory/supervise.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
 // StoreLost reports whether the store has not responded to this host for a while.
@@ -16,17 +17,17 @@
 }
 
 // mayCall reports whether this host may call the store for a collection that it
-// holds for revision asOf. Calls wait for the response to a probe, which costs
+// holds as of a position. Calls wait for the response to a probe, which costs
 // less, unless the host has not read the collection yet.
-func (r *Reader) mayCall(asOf uint64) bool {
+func (r *Reader) mayCall(asOf model.Position) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.mayCallLocked(asOf)
 }
 
 // mayCallLocked is mayCall with the lock held.
-func (r *Reader) mayCallLocked(asOf uint64) bool {
-	if asOf == 0 {
+func (r *Reader) mayCallLocked(asOf model.Position) bool {
+	if asOf.IsZero() {
 		return !r.health.isUnresponsive()
 	}
 	return r.health.hasRespondedRecently(r.now())
@@ -169,7 +170,7 @@
 
 // beginWatch registers the cancel function of a watch, for when the store is lost.
 // It reports whether the watch may start.
-func (r *Reader) beginWatch(c Collection, after uint64, cancel context.CancelFunc) bool {
+func (r *Reader) beginWatch(c Collection, after model.Position, cancel context.CancelFunc) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.mayCallLocked(after) {
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
+)
 
 // ServerState is the state that a backend server reports.
 type ServerState int
@@ -28,6 +32,6 @@
 	// StartUnixMillis is the server's start time in Unix milliseconds. It
 	// distinguishes two starts under the same ID.
 	StartUnixMillis int64
-	// Revision is the store's revision of the entry.
-	Revision uint64
+	// Entry is the position of the entry in the store.
+	Entry model.Position
 }
