Write the entry of a host again in each era of the store

What callers saw: nothing yet. A host that is alone finds its peers by their entries in the store, and a store that came back from an older copy may lack them.

Cause: a host wrote its entry once in its life.

--- a/internal/host/register.go
+++ b/internal/host/register.go
@@ -8,6 +8,7 @@
 
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
 const (
@@ -29,18 +30,38 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// registration is what this host knows about its entry in the store.
+type registration struct {
+	written bool
+	// era is the store's era before the entry was written.
+	era model.Era
+}
+
+// isDue reports whether the entry has to be written in this era of the store.
+func (r *registration) isDue(era model.Era) bool { return !r.written || era > r.era }
+
+// record records the outcome of a write that began in an era. An entry that could
+// not be written again may still be there.
+func (r *registration) record(era model.Era, written bool) {
+	if written {
+		r.written, r.era = true, era
+	}
+}
+
 // register keeps an entry of this host in the store while it is an active host,
 // so that hosts find each other when all seeds are stale. Calls to the store
 // are priced, so standby hosts have no entry, and only a host without peers
-// reads the entries. The entry is removed when ctx ends, in a call under the
-// work context, which ends later.
+// reads the entries. The entry is written again when the store has come back from
+// an older copy, which may lack it; the hosts do so at different times of an
+// interval. The entry is removed when ctx ends, in a call under the work context,
+// which ends later.
 func (h *Host) register(ctx, work context.Context) {
-	registered := false
+	var entry registration
 	pause := joinTimeout
 	for {
 		select {
 		case <-ctx.Done():
-			if registered {
+			if entry.written {
 				h.unregister(work)
 			}
 			return
@@ -48,9 +69,10 @@
 		}
 		alone, active := h.rosterStatus()
 		done := !alone
-		if !registered && active {
-			registered = h.putEntry(ctx)
-			done = done && registered
+		if era := h.reader.Era(); active && entry.isDue(era) {
+			written := h.putEntry(ctx)
+			entry.record(era, written)
+			done = done && written
 		}
 		if alone {
 			h.findPeers(ctx)
