Begin a watch again that has not returned for a write

Cause: a watch that waits was trusted for as long as probes were answered.

Change: every response, a probe's too, shows the position of the store. A watch that has not returned 0.7 s after a response with a later position than at its start (three times the time of a probe, if that is longer) is begun again from where it was. If it then returns changes up to that position, event 1413 says that the store had forgotten the one before: this tells such a case from a store that is back from an older copy (1411).

--- a/internal/inventory/era.go
+++ b/internal/inventory/era.go
@@ -54,7 +54,7 @@
 func (r *Reader) learnEra(era model.Era) {
 	if era > r.eras.known {
 		r.eras.known = era
-		r.cancelWatches()
+		r.watches.cancelAll()
 	}
 }
 
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -91,9 +91,9 @@
 	// none after a time that the Source chooses. The batch belongs to a later era if
 	// the store has come back from an older copy while the watch waited.
 	Watch(ctx context.Context, c Collection, after model.Position) (Batch, error)
-	// Probe returns nil if the store serves this host. It costs less than the
-	// other calls.
-	Probe(ctx context.Context) error
+	// Probe returns no error if the store serves this host. It costs less than the
+	// other calls. The position may be seconds old.
+	Probe(ctx context.Context) (model.Position, error)
 	// OnEra sets the function that is called with the era in each response of the
 	// store, also to calls that failed, before the call returns. stated is false if
 	// the response did not state a valid one.
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -71,10 +71,8 @@
 	// reading and lost are the role and whether the store was lost at the last
 	// check of supervise.
 	reading, lost bool
-	// cancelWatch cancels the latest watch of a collection, for when the watch may
-	// no longer return changes.
-	cancelWatch map[Collection]context.CancelFunc
-	eras        eras
+	watches       watches
+	eras          eras
 	// relist are the collections whose history the store may have dropped.
 	relist map[Collection]bool
 
@@ -105,7 +103,7 @@
 		onView: on.View, onChange: on.Change, onStoreLostChanged: on.StoreLostChanged,
 		health:         newStoreHealth(),
 		probeResponded: make(chan struct{}),
-		cancelWatch:    make(map[Collection]context.CancelFunc),
+		watches:        newWatches(),
 		confirmedAt:    make(map[Collection]time.Time),
 		relist:         make(map[Collection]bool),
 	}
@@ -240,8 +238,8 @@
 	defer r.mu.Unlock()
 	for _, c := range WatchedCollections {
 		r.relist[c] = true
-		if cancel := r.cancelWatch[c]; cancel != nil && c != except {
-			cancel()
+		if c != except {
+			r.watches.cancel(c)
 		}
 	}
 }
@@ -251,13 +249,15 @@
 func (r *Reader) watch(ctx context.Context, c Collection, after model.Position, pause *pause) (historyGone bool) {
 	for ctx.Err() == nil && r.role(r.now()) && r.canWatch(c, after) {
 		watchCtx, cancel := context.WithCancel(ctx)
-		if !r.beginWatch(c, after, cancel) {
+		missed, ok := r.beginWatch(c, after, cancel)
+		if !ok {
 			cancel()
 			return false
 		}
 		batch, err := r.source.Watch(watchCtx, c, after)
 		interrupted := watchCtx.Err() != nil
 		cancel()
+		r.endWatch(c)
 		if interrupted {
 			return false
 		}
@@ -278,6 +278,7 @@
 			continue
 		}
 		pause.reset()
+		r.logForgotten(c, batch, missed)
 		r.applyChanges(c, batch)
 		after = batch.Position
 		if c == Servers && len(batch.Objects) > 0 {
@@ -287,6 +288,20 @@
 	return false
 }
 
+// logForgotten logs the changes up to a position, which the watch before should have
+// returned.
+func (r *Reader) logForgotten(c Collection, batch Batch, missed model.Position) {
+	forgotten := 0
+	for _, o := range batch.Objects {
+		if !o.Position.After(missed) {
+			forgotten++
+		}
+	}
+	if forgotten > 0 {
+		r.log.Emit(events.WatchForgotten, events.Subject(c.String()), events.Count(forgotten))
+	}
+}
+
 // applyListed applies a listing of the store. held is the position that this host held
 // when the call began: a listing from before it shows that the store has gone back.
 func (r *Reader) applyListed(c Collection, held model.Position, batch Batch) {
@@ -309,6 +324,7 @@
 // applyRead applies what was read from the store, and forwards the change. It is called
 // with the lock held.
 func (r *Reader) applyRead(c Collection, batch Batch, whole bool) {
+	r.watches.observe(r.now(), batch.Position)
 	r.log.Emit(events.StoreRead, events.Subject(c.String()), events.Count(len(batch.Objects)), events.Generation(model.Generation(batch.Position.Revision)))
 	if change, changed := r.apply(c, batch, whole, ""); changed {
 		r.onChange(change)
@@ -342,9 +358,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	change, changed = r.apply(c, batch, true, sender)
-	if cancel := r.cancelWatch[c]; changed && cancel != nil {
+	if changed {
 		// The store may have dropped the watch, since it didn't return this change.
-		cancel()
+		r.watches.cancel(c)
 	}
 	return change, changed
 }
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -37,9 +37,11 @@
 	// epoch counts the times that the store became unresponsive.
 	epoch int
 	// oldest is the revision before which the history is gone.
-	oldest  uint64
-	changed chan struct{}
-	latency time.Duration
+	oldest uint64
+	// forgotten counts the times that the store forgot the watches that waited.
+	forgotten int
+	changed   chan struct{}
+	latency   time.Duration
 	// calls counts all calls except probes.
 	calls  int
 	probes int
@@ -59,6 +61,14 @@
 	s.wake()
 }
 
+// touch writes to another collection.
+func (s *faultyStore) touch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.wake()
+}
+
 func (s *faultyStore) dropHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,6 +77,14 @@
 	s.wake()
 }
 
+// forgetWatches makes the store never respond to the watches that wait.
+func (s *faultyStore) forgetWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten++
+	s.wake()
+}
+
 func (s *faultyStore) setUnresponsive(unresponsive bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,11 +159,19 @@
 	defer cancel()
 	epoch := s.begin(ctx, &s.calls)
 	end := time.After(watchWait)
+	s.mu.Lock()
+	forgotten := s.forgotten
+	s.mu.Unlock()
 	for waited := false; ; {
 		if err := s.waitForResponse(ctx, epoch); err != nil {
 			return Batch{}, err
 		}
 		s.mu.Lock()
+		if s.forgotten != forgotten {
+			s.mu.Unlock()
+			<-ctx.Done()
+			return Batch{}, ErrUnavailable
+		}
 		batch, changed, gone := Batch{Position: at(s.revision)}, s.changed, after.Before(at(s.oldest))
 		if c == Configuration && s.config.Position.After(after) {
 			batch.Objects = []Object{s.config}
@@ -167,9 +193,12 @@
 }
 
 // Probe implements Source.
-func (s *faultyStore) Probe(ctx context.Context) error {
+func (s *faultyStore) Probe(ctx context.Context) (model.Position, error) {
 	epoch := s.begin(ctx, &s.probes)
-	return s.waitForResponse(ctx, epoch)
+	err := s.waitForResponse(ctx, epoch)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return at(s.revision), err
 }
 
 // OnEra implements Source.
@@ -244,6 +273,49 @@
 	}
 }
 
+// Guards against a change that is missed until the watch has waited for its time, because
+// the store has forgotten the watch while it responds to other calls.
+func TestChangeIsReadInTimeIfTheStoreForgotTheWatch(t *testing.T) {
+	for _, slow := range []time.Duration{callLatency, 100 * time.Millisecond} {
+		t.Run(slow.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFaultyStore()
+				store.setLatency(slow)
+				r := runReader(t, store, always)
+				store.forgetWatches()
+				store.put("v2")
+				time.Sleep(configBound)
+				if got := version(r); got != 2 {
+					t.Errorf("version %d is in effect %v after the change, want 2", got, configBound)
+				}
+			})
+		})
+	}
+}
+
+// Guards against watches of a slow store that are ended before it can respond.
+func TestChangesOfASlowStoreAreReadBesideConstantWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFaultyStore()
+		r := runReader(t, store, always)
+		store.setLatency(slowLatency)
+		for i := range 50 {
+			store.touch()
+			if i%10 == 9 {
+				store.put("v2")
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(2 * slowLatency)
+		if got, want := r.Mark(Configuration).AsOf.Revision, store.config.Position.Revision; got < want {
+			t.Errorf("the configuration is held as of revision %d, want %d", got, want)
+		}
+		if calls, _ := store.counts(); calls > 2*len(WatchedCollections)*int(10*time.Second/slowLatency) {
+			t.Errorf("%d calls in 10 s to a store that takes %v for each", calls, slowLatency)
+		}
+	})
+}
+
 // Guards against a host that replaced a reader, lost the store and is never used
 // as a reader again, because only hosts that read the store detect its recovery.
 func TestHostThatLostTheStoreLearnsOfItsReturn(t *testing.T) {
--- a/internal/inventory/supervise.go
+++ b/internal/inventory/supervise.go
@@ -74,8 +74,9 @@
 	lost := r.health.isLost(now)
 	changed := lost != r.lost
 	if !reading || changed && lost {
-		r.cancelWatches()
+		r.watches.cancelAll()
 	}
+	r.watches.cancelOverdue(now, r.health.probeTimeout)
 	r.logRole(reading)
 	if changed && lost {
 		r.log.Emit(events.StoreLost, events.Elapsed(now.Sub(r.health.failingSince())))
@@ -128,7 +129,7 @@
 func (r *Reader) probe(ctx context.Context, began time.Time) {
 	r.calls.Add(1)
 	probeCtx, cancel := context.WithTimeout(ctx, maxProbeTimeout)
-	err := r.source.Probe(probeCtx)
+	at, err := r.source.Probe(probeCtx)
 	cancel()
 	if ctx.Err() != nil {
 		return
@@ -140,6 +141,7 @@
 		r.failures.Add(1)
 		return
 	}
+	r.watches.observe(r.now(), at)
 	close(r.probeResponded)
 	r.probeResponded = make(chan struct{})
 }
@@ -161,21 +163,20 @@
 	r.state.RecordStoreRecovery(r.now())
 }
 
-// cancelWatches is called with the lock held.
-func (r *Reader) cancelWatches() {
-	for _, cancel := range r.cancelWatch {
-		cancel()
-	}
-}
-
 // beginWatch registers the cancel function of a watch, for when the store is lost.
-// It reports whether the watch may start.
-func (r *Reader) beginWatch(c Collection, after model.Position, cancel context.CancelFunc) bool {
+// It reports whether the watch may start, and up to which position the one before
+// should have returned changes if it was overdue.
+func (r *Reader) beginWatch(c Collection, after model.Position, cancel context.CancelFunc) (missed model.Position, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.mayCallLocked(after) {
-		return false
+		return model.Position{}, false
 	}
-	r.cancelWatch[c] = cancel
-	return true
+	return r.watches.begin(c, cancel), true
+}
+
+func (r *Reader) endWatch(c Collection) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watches.end(c)
 }
