End an outage of the store when calls are served again

Cause: an outage that ended with a failed call counted until the next response. That of a watch comes when something has changed, or after 6 s. So a removal some seconds after the outage was taken for an entry that had lapsed in it, and the server was kept for 2.5 s. Hosts that do not read the store heard of the end as late as its readers did.

Change: the outage ends when the call began that was served, or with the first probe that was, if that is later; servers lapse from that time on. While a watch waits, a probe that began after it and was served shows that the store holds the watch, once it had the time to refuse it: the outage ends then, and the peers are told.

--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -188,9 +188,9 @@
 			continue
 		}
 		if r.needsListing(c) {
-			era := r.Era()
+			era, began := r.Era(), r.now()
 			batch, err := r.source.List(ctx, c)
-			if !r.recordCall(ctx, c, err) {
+			if !r.recordCall(ctx, c, began, err) {
 				pause.wait(ctx)
 				continue
 			}
@@ -254,6 +254,7 @@
 			cancel()
 			return false
 		}
+		began := r.now()
 		batch, err := r.source.Watch(watchCtx, c, after)
 		interrupted := watchCtx.Err() != nil
 		cancel()
@@ -263,10 +264,10 @@
 		}
 		if errors.Is(err, ErrHistoryGone) {
 			r.log.Emit(events.StoreHistoryGone, events.Subject(c.String()))
-			r.recordCall(ctx, c, nil)
+			r.recordCall(ctx, c, began, nil)
 			return true
 		}
-		if !r.recordCall(ctx, c, err) {
+		if !r.recordCall(ctx, c, began, err) {
 			pause.wait(ctx)
 			continue
 		}
@@ -428,9 +429,9 @@
 	}
 }
 
-// recordCall counts a call, records its outcome and logs a failure or the end of
-// an outage. It reports whether the call succeeded.
-func (r *Reader) recordCall(ctx context.Context, c Collection, err error) bool {
+// recordCall counts a call that began at that time, records its outcome and logs a
+// failure or the end of an outage. It reports whether the call succeeded.
+func (r *Reader) recordCall(ctx context.Context, c Collection, began time.Time, err error) bool {
 	r.calls.Add(1)
 	if ctx.Err() != nil {
 		return false
@@ -444,7 +445,7 @@
 		r.log.Emit(events.StoreCallFailed, events.Subject(c.String()), events.Reason(err), events.Elapsed(now.Sub(r.health.failingSince())))
 		return false
 	}
-	r.recordOutageEnd(r.health.recordResponse(now))
+	r.recordOutageEnd(r.health.recordResponse(now, began))
 	return true
 }
 
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -426,13 +426,65 @@
 	h.recordFailure(start)
 	h.recordProbeStart(start)
 	later := start.Add(lostAfter)
-	h.recordProbeEnd(later, start, nil, true)
+	h.recordProbeEnd(later, start, nil, time.Time{})
 	if !h.isLost(later) {
 		t.Error("a store that fails calls is not lost after a response to a probe")
 	}
 	h.recordProbeStart(later)
-	if outage := h.recordProbeEnd(later, later, nil, false); outage != lostAfter || h.isLost(later) {
-		t.Errorf("lost %v after %v for a host that makes no calls", h.isLost(later), outage)
+	if ended := h.recordProbeEnd(later, later, nil, later); ended.length != lostAfter || h.isLost(later) {
+		t.Errorf("lost %v after %v for a host that makes no calls", h.isLost(later), ended.length)
+	}
+}
+
+// Guards against an outage that counts until a watch has waited for its response, so
+// that a server which leaves meanwhile is taken for one whose entry has lapsed.
+func TestOutageEndsBeforeTheWatchThatWaits(t *testing.T) {
+	h := newStoreHealth()
+	h.recordFailure(start)
+	probed, began := start.Add(600*time.Millisecond), start.Add(700*time.Millisecond)
+	h.recordProbeStart(probed)
+	if ended := h.recordProbeEnd(probed, probed, nil, time.Time{}); ended != (outage{}) {
+		t.Errorf("a probe ended the outage of a host that makes calls: %+v", ended)
+	}
+	if ended := h.recordResponse(began.Add(watchWait), began); ended.endedAt != began || ended.length != began.Sub(start) {
+		t.Errorf("the outage is %+v, want it to end at the start of the call that was served", ended)
+	}
+}
+
+// Guards against a store that stays lost until a watch has waited for its response,
+// although the store holds the watch.
+func TestHeldWatchEndsAnOutage(t *testing.T) {
+	h, w := newStoreHealth(), newWatches()
+	h.recordFailure(start)
+	began := start.Add(time.Second)
+	w.begin(began, Configuration, func() {})
+	for _, probe := range []struct{ began, now time.Duration }{
+		{-time.Millisecond, minProbeTimeout},                      // began before the watch
+		{minProbeTimeout / 2, minProbeTimeout - time.Millisecond}, // the watch may still be refused
+	} {
+		if held := w.heldSince(began.Add(probe.now), began.Add(probe.began), minProbeTimeout); !held.IsZero() {
+			t.Errorf("%+v shows that the store holds the watch", probe)
+		}
+	}
+	now := began.Add(minProbeTimeout)
+	held := w.heldSince(now, began, minProbeTimeout)
+	h.recordProbeStart(began)
+	if ended := h.recordProbeEnd(now, began, nil, held); ended.length == 0 || h.isLost(now) {
+		t.Errorf("the outage ends as %+v while the store holds a watch", ended)
+	}
+}
+
+// Guards against an outage that ends before the store responds, while calls wait.
+func TestOutageLastsWhileProbesFail(t *testing.T) {
+	h := newStoreHealth()
+	h.recordProbeStart(start)
+	h.recordProbeEnd(start, start, nil, time.Time{})
+	h.recordFailure(start.Add(time.Second))
+	h.recordProbeStart(start.Add(time.Second))
+	h.checkProbeTimeout(start.Add(2 * time.Second))
+	began, now := start.Add(2*time.Second), start.Add(5*time.Second)
+	if ended := h.recordResponse(now, began); ended.endedAt != now {
+		t.Errorf("the outage is %+v, want it to end with the response at %v", ended, now)
 	}
 }
 
@@ -448,9 +500,9 @@
 	}
 	h.recordProbeStart(now)
 	now = now.Add(callLatency)
-	h.recordProbeEnd(now, start.Add(minProbeTimeout), nil, true)
+	h.recordProbeEnd(now, start.Add(minProbeTimeout), nil, time.Time{})
 	now = now.Add(maxProbeTimeout)
-	h.recordProbeEnd(now, start, ErrUnavailable, true)
+	h.recordProbeEnd(now, start, ErrUnavailable, time.Time{})
 	h.checkProbeTimeout(now)
 	if h.isLost(now.Add(lostAfter)) {
 		t.Error("the failure of the older probe made the store lost again")
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -314,8 +314,8 @@
 		s.lapsed[name] = now.Add(lapseGrace)
 		return
 	}
-	if ok && server.State == fleet.Ready && now.Before(s.lapseWindowEnd) {
-		s.lapsed[name] = s.recoveredAt.Add(lapseGrace)
+	if until := s.recoveredAt.Add(lapseGrace); ok && server.State == fleet.Ready && now.Before(s.lapseWindowEnd) && now.Before(until) {
+		s.lapsed[name] = until
 		return
 	}
 	if _, lapsed := s.lapsed[name]; lapsed {
--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -98,6 +98,19 @@
 	}
 }
 
+// Guards against requests to a server that leaves after the outage, as the first change
+// since then.
+func TestServerThatLeavesLongAfterTheOutageIsRemovedAtOnce(t *testing.T) {
+	s, _ := newState(t)
+	s.ApplyListing(start, Servers, list(5, object("a", 1, "ready"), object("b", 2, "ready")))
+	recoveredAt := start.Add(10 * time.Second)
+	s.RecordStoreRecovery(recoveredAt)
+	s.ApplyChanges(recoveredAt.Add(lapseGrace), Servers, list(21, Object{Name: "a", Position: at(21), Deleted: true}))
+	if _, ok := s.View().Servers["a"]; ok {
+		t.Error("a server that was removed long after the outage is kept")
+	}
+}
+
 // Guards against the grace period after an outage that keeps a server which is
 // removed later (test scenario Dhuwaa mix, seed 90680519164: broke the rule
 // DRAIN).
--- a/internal/inventory/store_health.go
+++ b/internal/inventory/store_health.go
@@ -38,6 +38,11 @@
 	// served from stale data.
 	callsFailingSince  time.Time
 	probesFailingSince time.Time
+	// probesServedSince is the time of the first response in the current run of probes
+	// that got one.
+	probesServedSince time.Time
+	// callFailedAt is the time of the last failed call.
+	callFailedAt time.Time
 	// pendingProbes are the start times of the probes that wait for a response,
 	// the oldest first.
 	pendingProbes []time.Time
@@ -74,25 +79,45 @@
 	return !h.isUnresponsive() && now.Sub(h.respondedAt) < probeInterval+h.probeTimeout
 }
 
-// recordResponse records a response to a call. It returns the length of the
-// outage that it ends, or 0.
-func (h *storeHealth) recordResponse(now time.Time) (outage time.Duration) {
+// outage is a time in which the store did not serve this host.
+type outage struct {
+	length  time.Duration
+	endedAt time.Time
+}
+
+// recordResponse records a response to a call that began at that time. It returns the
+// outage that has ended, if any. A watch may have waited for its response since the end
+// of the outage, while probes were served.
+func (h *storeHealth) recordResponse(now, began time.Time) (ended outage) {
 	if since := h.failingSince(); !since.IsZero() {
-		outage = now.Sub(since)
+		ended.endedAt = now
+		if !h.probesServedSince.IsZero() {
+			ended.endedAt = later(began, h.probesServedSince)
+		}
+		ended.length = ended.endedAt.Sub(since)
 	}
 	h.callsFailingSince = time.Time{}
-	h.recordProbeResponse(now)
-	return outage
+	h.recordServed(now)
+	return ended
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // recordFailure records a failed call.
 func (h *storeHealth) recordFailure(now time.Time) {
+	h.callFailedAt = now
 	if h.callsFailingSince.IsZero() {
 		h.callsFailingSince = now
 	}
 }
 
-func (h *storeHealth) recordProbeResponse(now time.Time) {
+// recordServed records that the store responds.
+func (h *storeHealth) recordServed(now time.Time) {
 	h.respondedAt, h.probesFailingSince, h.nextRetryAt = now, time.Time{}, time.Time{}
 	// The outcome of older probes that still wait no longer matters.
 	h.pendingProbes = nil
@@ -105,19 +130,30 @@
 }
 
 // recordProbeEnd records the end of the probe that began at that time. If the
-// store has recovered, it returns the length of the outage. For a host that makes
-// no calls, the response to a probe is enough to end an outage.
-func (h *storeHealth) recordProbeEnd(now, began time.Time, err error, makesCalls bool) (outage time.Duration) {
+// store has recovered, it returns the outage. served is the time from which on calls
+// are known to be served, too, or zero.
+func (h *storeHealth) recordProbeEnd(now, began time.Time, err error, served time.Time) (ended outage) {
 	if err != nil {
 		h.recordProbeFailure(now, began)
-		return 0
+		return outage{}
 	}
 	h.probeTimeout = min(max(probeTimeoutFactor*now.Sub(began), minProbeTimeout), maxProbeTimeout)
-	if makesCalls && !h.callsFailingSince.IsZero() {
-		h.recordProbeResponse(now)
-		return 0
+	if h.probesServedSince.IsZero() {
+		h.probesServedSince = now
+	}
+	switch {
+	case h.callsFailingSince.IsZero():
+		return h.recordResponse(now, now)
+	case served.After(h.callFailedAt):
+		return h.recordResponse(now, served)
 	}
-	return h.recordResponse(now)
+	h.recordServed(now)
+	return outage{}
+}
+
+// recordProbesFailing records since when probes have failed.
+func (h *storeHealth) recordProbesFailing(since time.Time) {
+	h.probesFailingSince, h.probesServedSince = since, time.Time{}
 }
 
 func (h *storeHealth) recordProbeFailure(now, began time.Time) {
@@ -125,7 +161,7 @@
 		if at.Equal(began) {
 			h.pendingProbes = append(h.pendingProbes[:i], h.pendingProbes[i+1:]...)
 			if h.probesFailingSince.IsZero() {
-				h.probesFailingSince = now
+				h.recordProbesFailing(now)
 			}
 			return
 		}
@@ -135,7 +171,7 @@
 // checkProbeTimeout records a failure if the oldest probe has timed out.
 func (h *storeHealth) checkProbeTimeout(now time.Time) {
 	if len(h.pendingProbes) > 0 && h.probesFailingSince.IsZero() && now.Sub(h.pendingProbes[0]) >= h.probeTimeout {
-		h.probesFailingSince = h.pendingProbes[0]
+		h.recordProbesFailing(h.pendingProbes[0])
 	}
 }
 
--- a/internal/inventory/supervise.go
+++ b/internal/inventory/supervise.go
@@ -136,7 +136,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recordOutageEnd(r.health.recordProbeEnd(r.now(), began, err, r.reading))
+	now := r.now()
+	served := now // for a host that makes no calls, a probe is enough
+	if r.reading {
+		served = r.watches.heldSince(now, began, r.health.probeTimeout)
+	}
+	r.recordOutageEnd(r.health.recordProbeEnd(now, began, err, served))
 	if err != nil {
 		r.failures.Add(1)
 		return
@@ -148,10 +153,10 @@
 
 // recordOutageEnd records that the store has recovered if the outage was long
 // enough to count as one. It is called with the lock held.
-func (r *Reader) recordOutageEnd(outage time.Duration) {
-	if outage > minOutage {
-		r.state.RecordStoreRecovery(r.now())
-		r.log.Emit(events.StoreReached, events.Elapsed(outage))
+func (r *Reader) recordOutageEnd(ended outage) {
+	if ended.length > minOutage {
+		r.state.RecordStoreRecovery(ended.endedAt)
+		r.log.Emit(events.StoreReached, events.Elapsed(ended.length))
 	}
 }
 
@@ -172,7 +177,7 @@
 	if !r.mayCallLocked(after) {
 		return model.Position{}, false
 	}
-	return r.watches.begin(c, cancel), true
+	return r.watches.begin(r.now(), c, cancel), true
 }
 
 func (r *Reader) endWatch(c Collection) {
--- a/internal/inventory/watches.go
+++ b/internal/inventory/watches.go
@@ -25,6 +25,7 @@
 // watchCall is the latest watch of a collection. It may have ended.
 type watchCall struct {
 	cancel context.CancelFunc
+	began  time.Time
 	// knownAt is the latest known position of the store when the watch began.
 	knownAt model.Position
 	// behindSince is when a response first showed a later position, or zero.
@@ -37,11 +38,11 @@
 
 // begin records the start of a watch. If the one before was overdue, it returns the
 // position up to which that one should have returned changes.
-func (w *watches) begin(c Collection, cancel context.CancelFunc) (missed model.Position) {
+func (w *watches) begin(now time.Time, c Collection, cancel context.CancelFunc) (missed model.Position) {
 	if previous, ok := w.latest[c]; ok && previous.overdue {
 		missed = w.storeAt
 	}
-	w.latest[c] = &watchCall{cancel: cancel, knownAt: w.storeAt}
+	w.latest[c] = &watchCall{cancel: cancel, began: now, knownAt: w.storeAt}
 	return missed
 }
 
@@ -52,6 +53,17 @@
 	}
 }
 
+// heldSince returns since when the store has held a watch that it had the time to
+// refuse, or zero. A probe that began at that time has been served.
+func (w *watches) heldSince(now, probed time.Time, limit time.Duration) (since time.Time) {
+	for _, call := range w.latest {
+		if now.Sub(call.began) >= limit && !probed.Before(call.began) && (since.IsZero() || call.began.Before(since)) {
+			since = call.began
+		}
+	}
+	return since
+}
+
 // observe records the position that a response of the store has shown.
 func (w *watches) observe(now time.Time, at model.Position) {
 	w.storeAt = w.storeAt.Later(at)
