Pass on the configuration that the store has lost

What callers saw, since positions have eras: a host that started after the store had come back from an older copy, and before the operator had written again, refused the route of the confirmed version, and served the version of the copy instead, while the other hosts kept the confirmed one.

Cause: hosts kept a higher version in force, but held and passed on the entry of the copy. Their marks were equal to that of the late host.

Change: a configuration that the store has lost, or has in a lower version only, is kept at revision 0 of the new era. Marks say that they have such a one, and hosts with another content pull it, whatever the position; the highest version stays. The same goes for a configuration that the copy does not have at all.

--- a/internal/host/pull.go
+++ b/internal/host/pull.go
@@ -91,8 +91,12 @@
 	h.wakePuller()
 }
 
-// isNewer reports whether the first mark is that of newer content.
+// isNewer reports whether the first mark is that of newer content. What the store has
+// lost may be newer whatever the position.
 func isNewer(theirs, mine inventory.Mark) bool {
+	if theirs.HasLost && theirs.AsOf.Era == mine.AsOf.Era {
+		return !theirs.SameContent(mine)
+	}
 	return !theirs.AsOf.IsZero() && theirs.AsOf.After(mine.AsOf) && (!theirs.SameContent(mine) || mine.AsOf.IsZero())
 }
 
--- a/internal/host/storewire.go
+++ b/internal/host/storewire.go
@@ -53,14 +53,15 @@
 }
 
 func markToWire(c inventory.Collection, mark inventory.Mark) *wirepb.CollectionState {
-	return &wirepb.CollectionState{Collection: uint32(c), AsOf: mark.AsOf.Revision, Era: eraToWire(mark.AsOf), Digest: mark.Digest}
+	return &wirepb.CollectionState{Collection: uint32(c), AsOf: mark.AsOf.Revision, Era: eraToWire(mark.AsOf), Digest: mark.Digest, HasLost: mark.HasLost}
 }
 
 // markFromWire returns the mark in a message; see changeFromWire.
 func markFromWire(state *wirepb.CollectionState, byDefault model.Era) inventory.Mark {
 	return inventory.Mark{
-		AsOf:   model.Position{Era: eraFromWire(state.Era, byDefault), Revision: state.GetAsOf()},
-		Digest: state.GetDigest(),
+		AsOf:    model.Position{Era: eraFromWire(state.Era, byDefault), Revision: state.GetAsOf()},
+		Digest:  state.GetDigest(),
+		HasLost: state.GetHasLost(),
 	}
 }
 
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -91,7 +91,11 @@
 // ApplyListing replaces a whole collection. A listing that is older than the
 // current content changes nothing.
 func (s *State) ApplyListing(now time.Time, c Collection, batch Batch) {
-	if batch.Position.Before(s.asOf[c]) || !c.IsWatched() {
+	if !c.IsWatched() {
+		return
+	}
+	if batch.Position.Before(s.asOf[c]) {
+		s.takeLost(c, batch)
 		return
 	}
 	newEra := s.enterEra(now, c, batch.Position.Era)
@@ -150,17 +154,6 @@
 	s.confirm(c, batch.Position)
 }
 
-// keepInEra moves the configuration that the store has lost, and that stays in effect,
-// to before all of the era.
-func (s *State) keepInEra(c Collection, era model.Era) {
-	for _, o := range s.objects[c] {
-		if o.Position.Era < era {
-			o.Position = model.Position{Era: era}
-			s.setObject(c, o)
-		}
-	}
-}
-
 func (s *State) confirm(c Collection, at model.Position) {
 	s.asOf[c] = s.asOf[c].Later(at)
 }
@@ -172,6 +165,8 @@
 	AsOf model.Position
 	// Digest is equal for equal content of one era.
 	Digest uint64
+	// HasLost is true if the content has a configuration that the store has lost.
+	HasLost bool
 }
 
 // SameContent reports whether both marks are those of the same content.
@@ -181,7 +176,7 @@
 
 // Mark returns the mark of a collection.
 func (s *State) Mark(c Collection) Mark {
-	return Mark{AsOf: s.asOf[c], Digest: s.digests[c]}
+	return Mark{AsOf: s.asOf[c], Digest: s.digests[c], HasLost: c == Configuration && s.hasLostConfig()}
 }
 
 // setObject and deleteObject change the objects and their digest.
@@ -200,12 +195,19 @@
 
 // digestOf leaves the era out, so that hosts that don't know eras compute the same.
 func digestOf(o Object) uint64 {
+	if o.isLost() {
+		return rendezvous.Score(o.Name, string(o.Body))
+	}
 	return rendezvous.Score(o.Name, strconv.FormatUint(o.Position.Revision, 10))
 }
 
 // put adds or replaces an object; the held one is left as it is. newEra is true if it is read with the first content
 // of an era.
 func (s *State) put(now time.Time, c Collection, o Object, newEra bool) {
+	if c == Configuration && o.isLost() {
+		s.putLostConfig(o)
+		return
+	}
 	known, ok := s.objects[c][o.Name]
 	if ok && known.Position == o.Position {
 		return
@@ -216,6 +218,9 @@
 	}
 	switch c {
 	case Configuration:
+		if s.keepsLostConfig(o, newEra) {
+			return
+		}
 		s.putConfig(o)
 	case Servers:
 		server, err := s.decodeServer(o)
