Do not count cold times again in a later era

What callers saw: nothing shown yet; by reading, all servers would be limited like cold ones for about a heartbeat after the store has come back from an older copy.

Cause: the cold time in an entry counts from when the entry was first seen, and an entry of a later era is another one.

Change: the first entry of a later era does not begin the time anew.

Measured: TestColdTimeDoesNotBeginAgainInALaterEra fails without the change (cold until 1 min later) and holds with it.

--- a/internal/host/cold_fleet_test.go
+++ b/internal/host/cold_fleet_test.go
@@ -3,9 +3,11 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
+	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 	"github.com/wisteriacrank/wisteriacrank/pkg/roster"
 )
 
@@ -98,3 +100,20 @@
 		}
 	})
 }
+
+// Guards against servers that count as cold again because the store has come back from an
+// older copy, which has an earlier entry.
+func TestColdTimeDoesNotBeginAgainInALaterEra(t *testing.T) {
+	now := time.Now()
+	var b backend
+	entry := func(era model.Era, revision uint64) fleet.BackendServer {
+		return fleet.BackendServer{Entry: model.Position{Era: era, Revision: revision}, ColdRemaining: 3 * time.Second}
+	}
+	until := b.coldUntil(now, entry(1, 9))
+	if again := b.coldUntil(now.Add(time.Minute), entry(2, 4)); again != until {
+		t.Errorf("cold until %v later", again.Sub(until))
+	}
+	if next := b.coldUntil(now.Add(time.Minute), entry(2, 5)); next != until.Add(time.Minute) {
+		t.Errorf("cold until %v later, want the time in the next entry", next.Sub(until))
+	}
+}
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -162,10 +162,14 @@
 }
 
 // coldUntil returns the end of the cold time in a server's entry, which counts
-// from when the entry was first seen.
+// from when the entry was first seen. A store that comes back from an older copy shows
+// an earlier entry again.
 func (b *backend) coldUntil(now time.Time, server fleet.BackendServer) time.Time {
 	if b.coldEntry != server.Entry {
-		b.coldEntry, b.coldSeen = server.Entry, now
+		if b.coldEntry.IsZero() || b.coldEntry.Era == server.Entry.Era {
+			b.coldSeen = now
+		}
+		b.coldEntry = server.Entry
 	}
 	return b.coldSeen.Add(min(server.ColdRemaining, maxColdTime))
 }
