Compare eras before regions, and distrust messages without one after a restore

What callers saw: nothing shown on real processes; found by reading and by tests of the host's decisions.

Cause: a pending pull from a peer of the region kept out one from a peer of another region that had read a later era, for 250 ms and the next heartbeat, where only other regions reach the store. And a host of the version before, which does not state eras, was taken to be in the receiver's era even after that had risen: with the same digest, its revision 1000 moved a host at revision 900 of era 2 to 1000, which then refused what the store wrote in between.

Change: the later era is pulled first.

Measured: TestPeerInALaterEraIsAskedFirst and TestPositionWithoutEraIsIgnoredAfterALaterEra fail without the change and hold with it.

--- a/internal/host/pull.go
+++ b/internal/host/pull.go
@@ -55,7 +55,7 @@
 	case newer && !waiting:
 		h.newer[c] = peer
 		h.wakePuller()
-	case newer && (current.remote && !peer.remote || current.remote == peer.remote && peer.mark.AsOf.After(current.mark.AsOf)):
+	case newer && peer.supersedes(current):
 		peer.since, peer.alternates = current.since, current.alternates
 		peer.addAlternate(current.address)
 		h.newer[c] = peer
@@ -68,6 +68,18 @@
 	}
 }
 
+// supersedes reports whether this peer is to be asked instead of another one.
+func (p *newerPeer) supersedes(other newerPeer) bool {
+	switch {
+	case p.mark.AsOf.Era != other.mark.AsOf.Era:
+		return p.mark.AsOf.Era > other.mark.AsOf.Era
+	case p.remote != other.remote:
+		return other.remote
+	default:
+		return p.mark.AsOf.After(other.mark.AsOf)
+	}
+}
+
 func (p *newerPeer) addAlternate(address string) {
 	if len(p.alternates) < maxAlternates && address != p.address && !slices.Contains(p.alternates, address) {
 		p.alternates = append(p.alternates, address)
@@ -203,7 +215,7 @@
 		if !h.isWatched(snapshot.GetCollection()) {
 			continue
 		}
-		batch := snapshotFromWire(snapshot, h.heldEra(snapshot.GetCollection()))
+		batch := snapshotFromWire(snapshot, h.eraByDefault(snapshot.GetCollection()))
 		c := inventory.Collection(snapshot.GetCollection())
 		change, changed := h.reader.ApplyListing(c, batch, address)
 		h.Log.Emit(events.StateFromPeer, events.Subject(c.String()), events.Peer(address), events.Count(len(batch.Objects)))
--- a/internal/host/pull_test.go
+++ b/internal/host/pull_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
+	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/fleet"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
@@ -73,3 +74,39 @@
 		t.Errorf("pulled from %v, want north-2, which has the newest content, and %d more", pulled, maxAlternates)
 	}
 }
+
+// Guards against a host that waits for its region's readers, which have not read the
+// later era of the store, while another region has.
+func TestPeerInALaterEraIsAskedFirst(t *testing.T) {
+	h, now := newHost(), time.Now()
+	local := newerPeerAt("west-1", 9, now)
+	local.remote = false
+	h.compareMark(inventory.Configuration, local)
+	later := newerPeerAt("east-1", 3, now)
+	later.mark.AsOf.Era = 2
+	h.compareMark(inventory.Configuration, later)
+	if due, _ := h.duePulls(now); len(due["east-1"]) != 1 {
+		t.Errorf("%v due, want the pull from east-1", due)
+	}
+	h.compareMark(inventory.Configuration, later)
+	h.compareMark(inventory.Configuration, local)
+	if due, _ := h.duePulls(now); len(due["east-1"]) != 1 {
+		t.Errorf("%v due after the message of the earlier era, want the pull from east-1", due)
+	}
+}
+
+// Guards against a position of an earlier era that is taken for one of the present era,
+// because its sender does not know eras.
+func TestPositionWithoutEraIsIgnoredAfterALaterEra(t *testing.T) {
+	h := newHost()
+	if era := h.eraByDefault(uint32(inventory.Configuration)); era != 0 {
+		t.Errorf("era %d by default, want that of the content", era)
+	}
+	h.reader.ApplyListing(inventory.Configuration, configurationAt(3).InEra(2), "")
+	h.compareMark(inventory.Configuration, newerPeer{
+		mark: markFromWire(&wirepb.CollectionState{AsOf: 1000, Digest: h.reader.Mark(inventory.Configuration).Digest}, h.eraByDefault(uint32(inventory.Configuration))),
+	})
+	if at := h.reader.Mark(inventory.Configuration).AsOf; at != (model.Position{Era: 2, Revision: 3}) {
+		t.Errorf("the content is held as of %v", at)
+	}
+}
--- a/internal/host/storesync.go
+++ b/internal/host/storesync.go
@@ -98,7 +98,7 @@
 		if !h.isWatched(pushed.GetCollection()) {
 			continue
 		}
-		change := changeFromWire(pushed, h.heldEra(pushed.GetCollection()))
+		change := changeFromWire(pushed, h.eraByDefault(pushed.GetCollection()))
 		if !h.reader.ApplyChange(change, message.GetSelf().GetId()) {
 			h.Metrics.Add("pushes_out_of_order", 1)
 		}
@@ -116,16 +116,20 @@
 		}
 		h.compareMark(inventory.Collection(state.GetCollection()), newerPeer{
 			address: peer.PeerAddress,
-			mark:    markFromWire(state, h.heldEra(state.GetCollection())),
+			mark:    markFromWire(state, h.eraByDefault(state.GetCollection())),
 			since:   now,
 			remote:  peer.Region != h.Settings.Region,
 		})
 	}
 }
 
-// heldEra returns the era of this host's content of a collection. Messages of hosts that
-// don't know eras are taken to be of that era.
-func (h *Host) heldEra(collection uint32) model.Era {
+// eraByDefault returns the era of messages of hosts that don't know eras: the one of this
+// host's content, until the store has come back from an older copy, and 0 from then on,
+// since their content may be of an earlier era.
+func (h *Host) eraByDefault(collection uint32) model.Era {
+	if changes, _ := h.reader.EraCounts(); changes > 0 {
+		return 0
+	}
 	return h.reader.Mark(inventory.Collection(collection)).AsOf.Era
 }
 
