--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,25 +13,28 @@
 
 var start = time.Unix(1000, 0)
 
-// wordDecoder decodes bodies of one word: a version, or the state of a server.
+// wordDecoder decodes bodies of one word: a version such as v2, or the state of a
+// server, which the time of its start may follow, as in ready@7.
 type wordDecoder struct{}
 
 func (wordDecoder) Config(o Object) (*fleet.Config, error) {
-	versions := map[string]uint64{"v1": 1, "v2": 2, "v3": 3}
-	version, ok := versions[string(o.Body)]
-	if !ok {
+	version, ok := strings.CutPrefix(string(o.Body), "v")
+	number, err := strconv.ParseUint(version, 10, 64)
+	if !ok || err != nil {
 		return nil, errors.New("no version")
 	}
-	return fleet.NewConfig(version, nil, nil, fleet.Limits{}), nil
+	return fleet.NewConfig(number, nil, nil, fleet.Limits{}), nil
 }
 
 func (wordDecoder) Server(o Object) (fleet.BackendServer, error) {
 	states := map[string]fleet.ServerState{"ready": fleet.Ready, "draining": fleet.Draining}
-	state, ok := states[string(o.Body)]
+	word, began, _ := strings.Cut(string(o.Body), "@")
+	state, ok := states[word]
 	if !ok {
 		return fleet.BackendServer{}, errors.New("no state")
 	}
-	return fleet.BackendServer{ID: o.Name, State: state}, nil
+	start, _ := strconv.ParseInt(began, 10, 64)
+	return fleet.BackendServer{ID: o.Name, State: state, StartUnixMillis: start, Entry: o.Position}, nil
 }
 
 func newState(t *testing.T) (*State, *int) {
