Tests of a reader in a later era of the store

Cause: that a later era ends the waiting watches, and that one of a peer counts as one of the store, had no test.

Change: the store of reader_test.go states eras and comes back from a copy without ending its watches.

--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -34,6 +34,13 @@
 	config       Object
 	revision     uint64
 	unresponsive bool
+	// era is that of all responses; 0 states none. observe is told of it.
+	era     model.Era
+	observe func(model.Era, bool)
+	// listed counts the listings; listDelay passes between the content of one and its
+	// response.
+	listed    map[Collection]int
+	listDelay time.Duration
 	// epoch counts the times that the store became unresponsive.
 	epoch int
 	// oldest is the revision before which the history is gone.
@@ -48,7 +55,7 @@
 }
 
 func newFaultyStore() *faultyStore {
-	s := &faultyStore{changed: make(chan struct{}), latency: callLatency}
+	s := &faultyStore{changed: make(chan struct{}), latency: callLatency, listed: make(map[Collection]int)}
 	s.put("v1")
 	return s
 }
@@ -69,6 +76,23 @@
 	s.wake()
 }
 
+// restore brings the store back from a copy, which has the config as of the revision.
+// Waiting watches are not ended.
+func (s *faultyStore) restore(config string, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.config = revision, object("main", revision, config)
+}
+
+// respond returns what a response states.
+func (s *faultyStore) respond(batch Batch, era model.Era) Batch {
+	if s.observe != nil {
+		s.observe(era, era > 0)
+	}
+	return batch.InEra(era)
+}
+
 func (s *faultyStore) dropHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,12 +169,14 @@
 		return Batch{}, err
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	batch := Batch{Position: at(s.revision)}
+	batch, era, delay := Batch{Position: at(s.revision)}, s.era, s.listDelay
 	if c == Configuration {
 		batch.Objects = []Object{s.config}
 	}
-	return batch, nil
+	s.listed[c]++
+	s.mu.Unlock()
+	time.Sleep(delay)
+	return s.respond(batch, era), nil
 }
 
 // Watch implements Source.
@@ -172,16 +198,18 @@
 			<-ctx.Done()
 			return Batch{}, ErrUnavailable
 		}
-		batch, changed, gone := Batch{Position: at(s.revision)}, s.changed, after.Before(at(s.oldest))
-		if c == Configuration && s.config.Position.After(after) {
+		batch, changed, era := Batch{Position: at(s.revision)}, s.changed, s.era
+		gone := after.Revision < s.oldest || after.Revision > s.revision
+		if c == Configuration && s.config.Position.Revision > after.Revision {
 			batch.Objects = []Object{s.config}
 		}
 		s.mu.Unlock()
 		if gone {
+			s.respond(batch, era)
 			return Batch{}, ErrHistoryGone
 		}
 		if waited || len(batch.Objects) > 0 {
-			return batch, nil
+			return s.respond(batch, era), nil
 		}
 		select {
 		case <-changed:
@@ -195,14 +223,17 @@
 // Probe implements Source.
 func (s *faultyStore) Probe(ctx context.Context) (model.Position, error) {
 	epoch := s.begin(ctx, &s.probes)
-	err := s.waitForResponse(ctx, epoch)
+	if err := s.waitForResponse(ctx, epoch); err != nil {
+		return model.Position{}, err
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return at(s.revision), err
+	batch, era := Batch{Position: at(s.revision)}, s.era
+	s.mu.Unlock()
+	return s.respond(batch, era).Position, nil
 }
 
 // OnEra implements Source.
-func (s *faultyStore) OnEra(func(model.Era, bool)) {}
+func (s *faultyStore) OnEra(observe func(model.Era, bool)) { s.observe = observe }
 
 // runReader runs a reader until the test ends.
 func runReader(t *testing.T, store *faultyStore, role Role) *Reader {
@@ -210,8 +241,12 @@
 }
 
 func runReaderWith(t *testing.T, store *faultyStore, role Role, onChange func(Change)) *Reader {
+	return runLoggingReader(t, store, role, onChange, io.Discard)
+}
+
+func runLoggingReader(t *testing.T, store *faultyStore, role Role, onChange func(Change), log io.Writer) *Reader {
 	ctx, cancel := context.WithCancel(t.Context())
-	r := NewReader(store, wordDecoder{}, events.New(io.Discard, logrus.ErrorLevel, time.Now), time.Now, role,
+	r := NewReader(store, wordDecoder{}, events.New(log, logrus.InfoLevel, time.Now), time.Now, role,
 		Callbacks{View: func(*View) {}, Change: onChange, StoreLostChanged: func() {}})
 	var running sync.WaitGroup
 	running.Go(func() { r.Run(ctx) })
