Tests of eras: share the reads of the model and the check of listings

Change: one function reads for a host of the model, one loop checks its servers, and one check of listings serves all tests of eras.

--- a/internal/inventory/era_test.go
+++ b/internal/inventory/era_test.go
@@ -36,10 +36,10 @@
 	return maps.Clone(s.listed)
 }
 
-// expectAllListed checks that all collections were listed again.
-func expectAllListed(t *testing.T, store *faultyStore, before map[Collection]int) {
+// expectListed checks that the collections were listed again.
+func expectListed(t *testing.T, store *faultyStore, before map[Collection]int, collections ...Collection) {
 	t.Helper()
-	for _, c := range WatchedCollections {
+	for _, c := range collections {
 		if store.listings()[c] <= before[c] {
 			t.Errorf("%s is not listed again", c)
 		}
@@ -62,7 +62,7 @@
 		before := store.listings()
 		store.restore("v3", 9)
 		pass(probeInterval + agreementBound)
-		expectAllListed(t, store, before)
+		expectListed(t, store, before, WatchedCollections...)
 		expectVersion(t, r, 3)
 		if changes, unstated := r.EraCounts(); changes != 1 || unstated != 0 || strings.Count(log.String(), "store-restored") != 1 {
 			t.Errorf("%d changes of the era, %d responses without one, log %s", changes, unstated, &log)
@@ -85,12 +85,7 @@
 			t.Fatal("the change of the later era is not applied")
 		}
 		pass(4 * callLatency)
-		delete(before, Configuration)
-		for _, c := range []Collection{Servers, Evacuations} {
-			if store.listings()[c] <= before[c] {
-				t.Errorf("%s is not listed again", c)
-			}
-		}
+		expectListed(t, store, before, Servers, Evacuations)
 		store.put("v4")
 		pass(configBound)
 		expectVersion(t, r, 4)
@@ -115,7 +110,7 @@
 		changes = nil
 		store.restore("v3", 9)
 		pass(4*probeInterval + agreementBound)
-		expectAllListed(t, store, before)
+		expectListed(t, store, before, WatchedCollections...)
 		expectVersion(t, r, 3)
 		for _, c := range changes {
 			if c.After.AsOf.Era != 2 {
--- a/internal/inventory/restored_model_test.go
+++ b/internal/inventory/restored_model_test.go
@@ -102,39 +102,35 @@
 	verbose  bool
 }
 
-// A run has rounds of modelSteps steps on average, after each of which the hosts settle.
-const (
-	modelRounds = 4
-	modelSteps  = 50
-)
-
 type modelContent struct {
 	c      Collection
 	era    model.Era
 	digest uint64
 }
 
+// runStoreModel runs 200 steps on average. The hosts settle after each of four parts.
 func runStoreModel(t *testing.T, seed uint64, verbose bool) {
-	m := newStoreModel(t, seed, verbose)
-	for range modelRounds {
-		for range 1 + m.rand.IntN(2*modelSteps) {
+	m := &storeModel{
+		T: t, seed: seed, verbose: verbose, rand: rand.New(rand.NewPCG(seed, 43)), now: start,
+		store: modelStore{
+			position: model.Position{Era: 1},
+			objects:  map[Collection]map[string]Object{Configuration: {}, Servers: {}, Evacuations: {}},
+			history:  map[Collection][]Object{},
+		},
+		content: map[modelContent]map[string]uint64{}, running: map[string]string{}, drained: map[string]bool{}, latest: map[string]int64{},
+	}
+	for range 2 + m.rand.IntN(3) {
+		m.hosts = append(m.hosts, &modelHost{})
+		m.restart(m.hosts[len(m.hosts)-1])
+	}
+	for range 4 {
+		for range 1 + m.rand.IntN(100) {
 			m.step()
 		}
 		m.settle()
 	}
 }
 
-func newStoreModel(t *testing.T, seed uint64, verbose bool) *storeModel {
-	m := &storeModel{T: t, seed: seed, verbose: verbose, rand: rand.New(rand.NewPCG(seed, 43)), now: start, content: map[modelContent]map[string]uint64{}, running: map[string]string{}, drained: map[string]bool{}, latest: map[string]int64{}}
-	m.store = modelStore{position: model.Position{Era: 1}, objects: map[Collection]map[string]Object{Configuration: {}, Servers: {}, Evacuations: {}}, history: map[Collection][]Object{}}
-	for range 2 + m.rand.IntN(3) {
-		host := &modelHost{}
-		m.hosts = append(m.hosts, host)
-		m.restart(host)
-	}
-	return m
-}
-
 func (m *storeModel) restart(h *modelHost) {
 	*h = modelHost{life: h.life + 1, asOf: map[Collection]model.Position{}, left: map[string]bool{}}
 	h.Reader = NewReader(nil, wordDecoder{}, nil, func() time.Time { return m.now }, nil, Callbacks{View: func(*View) {}, Change: func(change Change) { m.forward(h, change) }})
@@ -184,23 +180,17 @@
 	}
 }
 
-func (m *storeModel) list(h *modelHost, c Collection) {
-	batch, held := m.store.list(c), h.Mark(c).AsOf
-	m.send(h, c, "listing", batch, func() { h.applyListed(c, held, batch) })
-}
-
-func (m *storeModel) watch(h *modelHost, c Collection) {
-	after := h.Mark(c).AsOf
-	if h.needsListing(c) {
-		m.list(h, c)
+// read lists a collection, or watches it from what the host holds.
+func (m *storeModel) read(h *modelHost, c Collection, whole bool) {
+	held := h.Mark(c).AsOf
+	if whole || h.needsListing(c) {
+		batch := m.store.list(c)
+		m.send(h, c, "listing", batch, func() { h.applyListed(c, held, batch) })
 		return
 	}
-	batch, ok := m.store.watch(c, after)
-	if !ok {
-		m.send(h, c, "lost history", after, func() { h.relistAll(c) })
-		return
-	}
-	if batch.Position.Era == after.Era {
+	if batch, ok := m.store.watch(c, held); !ok {
+		m.send(h, c, "lost history", held, func() { h.relistAll(c) })
+	} else if batch.Position.Era == held.Era {
 		m.send(h, c, "watch", batch, func() { h.applyChanges(c, batch) })
 	}
 }
@@ -275,10 +265,8 @@
 		h := m.host()
 		m.restart(h)
 		m.tracef("host %d restarts", slices.Index(m.hosts, h))
-	case n < 35:
-		m.list(m.host(), m.collection())
 	case n < 55:
-		m.watch(m.host(), m.collection())
+		m.read(m.host(), m.collection(), n < 35)
 	case n < 75:
 		m.report(m.host(), m.host(), m.collection())
 	case n < 80:
@@ -322,22 +310,18 @@
 		}
 		h.version = view.Config.Version
 	}
-	for name, server := range view.Servers {
-		run := fmt.Sprint(name, "@", server.StartUnixMillis)
-		switch {
-		case server.State == fleet.Draining:
-			h.left[run] = m.drained[run]
-		case h.left[run] && m.now.Sub(h.entered) < leaveGrace:
-			m.failf("%s gets requests %v after the era began although it had left", run, m.now.Sub(h.entered))
-		default:
-			delete(h.left, run)
-		}
-	}
 	used := make(map[string]string)
 	for name, server := range view.Servers {
-		if server.State == fleet.Ready {
-			used[name] = fmt.Sprint("ready@", server.StartUnixMillis)
+		run := fmt.Sprint("@", server.StartUnixMillis)
+		if server.State == fleet.Draining {
+			h.left[name+run] = m.drained[name+run]
+			continue
+		}
+		used[name] = "ready" + run
+		if h.left[name+run] && m.now.Sub(h.entered) < leaveGrace {
+			m.failf("%s%s gets requests %v after the era began although it had left", name, run, m.now.Sub(h.entered))
 		}
+		delete(h.left, name+run)
 	}
 	for name, body := range h.used {
 		if used[name] != body && m.running[name] == body && m.now.Sub(h.entered) < lapseGrace {
@@ -412,8 +396,7 @@
 // Guards against hosts that keep lost content of the store, take older content again
 // or differ for good after drills, in any order of reads, reports and restarts.
 func TestHostsEndWithTheContentOfARestoredStore(t *testing.T) {
-	const runs = 1500
-	for seed := range uint64(runs) {
+	for seed := range uint64(1500) {
 		runStoreModel(t, seed, false)
 	}
 }
