Test that a reader follows the store through drills and outages in any order

Cause: the model of hosts calls the reader's steps; its loops and watches were tested for single drills only.

Change: a running reader sees 25 random drills, writes, losses of history, outages of 1 s to 2 s and late listings of a peer, and has to use what is written after them within the bound. A silence below the time after which the store counts as lost, which ends watches unnoticed, is left out: it shows at the end of the watches only, with or without eras.

--- a/internal/inventory/era_test.go
+++ b/internal/inventory/era_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -30,6 +32,13 @@
 	synctest.Wait()
 }
 
+// current returns the configuration in the store.
+func (s *faultyStore) current() Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return list(s.revision, s.config).InEra(s.era)
+}
+
 func (s *faultyStore) listings() map[Collection]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,3 +176,48 @@
 		}
 	})
 }
+
+// Guards against a reader that stops to follow the store after drills, lost history,
+// outages and late news of peers in some order.
+func TestReaderFollowsARestoredStore(t *testing.T) {
+	for seed := range uint64(150) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			store, r := runInEra(t, func(Change) {}, io.Discard)
+			var copies []Batch
+			written := uint64(1)
+			for range 25 {
+				pass(time.Duration(random.IntN(1500)) * time.Millisecond)
+				batch := store.current()
+				copies = append(copies, batch)
+				older := copies[random.IntN(len(copies))]
+				switch random.IntN(6) {
+				case 0:
+					written++
+					store.put(fmt.Sprint("v", written))
+				case 1:
+					o := older.Objects[0]
+					store.restore(string(o.Body), o.Position.Revision)
+				case 2:
+					// The revision has passed that of the watches.
+					store.restore(string(older.Objects[0].Body), batch.Position.Revision+1)
+				case 3:
+					store.dropHistory()
+				case 4:
+					// A shorter silence shows at the end of the watches only.
+					store.setUnresponsive(true)
+					pass(time.Second + time.Duration(random.IntN(1000))*time.Millisecond)
+					store.setUnresponsive(false)
+				case 5:
+					r.ApplyListing(Configuration, older, "peer")
+				}
+			}
+			store.put(fmt.Sprint("v", written+1))
+			pass(configBound)
+			want := store.current()
+			if got := r.Snapshot(Configuration); version(r) != written+1 || got.Position.Era != want.Position.Era || got.Objects[0].Position != want.Objects[0].Position {
+				t.Errorf("seed %d: version %d, %+v is in effect, the store has version %d, %+v", seed, version(r), got, written+1, want)
+			}
+		})
+	}
+}
