Use the entry of an earlier start that stays in the store

What callers saw: nothing on real processes; found by the review of the fix. A server whose start time had gone back got no requests any more after a return of the store.

Cause: a host that knows a later start of a server than the copy keeps it for 2.5 s, and then dropped the server for good, since the entry did not change again.

Change: the entry applies once those of servers that do not run have expired, after 8 s.

Measured: the case "earlier start is never used" of TestOlderCopyDoesNotUndoWhatWasKnown fails without the change and holds with it.

--- a/internal/inventory/restored.go
+++ b/internal/inventory/restored.go
@@ -69,13 +69,13 @@
 }
 
 // keepLaterStart reports whether a server stays in use although the copy has the entry
-// of an earlier start of it, as if the copy had none.
+// of an earlier start of it, as if the copy had none. That entry applies if it stays.
 func (s *State) keepLaterStart(now time.Time, name string, listed fleet.BackendServer) bool {
 	known, ok := s.view.Servers[name]
 	if !ok || known.State != fleet.Ready || known.StartUnixMillis <= listed.StartUnixMillis {
 		return false
 	}
-	s.lapsed[name] = now.Add(lapseGrace)
+	s.lapsed[name], s.restored.left[name] = now.Add(lapseGrace), now.Add(leaveGrace)
 	s.restored.departed[name] = departure{at: now, entry: s.objects[Servers][name].Position, startUnixMillis: known.StartUnixMillis}
 	return true
 }
--- a/internal/inventory/restored_test.go
+++ b/internal/inventory/restored_test.go
@@ -111,6 +111,10 @@
 				listing(0, 1, "a ready@7", 9, ready), listing(s, 2, "a ready@7", 2, earlier),
 				wait(s+lapseGrace-soon, "a ready@7"), wait(s+lapseGrace, ""), listing(6*s, 3, "a draining@5", 2, earlier),
 			},
+			"earlier start is never used": {
+				listing(0, 1, "a ready@7", 9, ready), listing(s, 2, "a ready@7", 2, earlier),
+				wait(s+leaveGrace-soon, ""), wait(s+leaveGrace, "a ready@5"),
+			},
 			"late listing of the era before is taken": {
 				listing(0, 1, "a ready@7", 9, ready), listing(s, 2, "a ready@7", 6, again), listing(2*s, 1, "a ready@7", 9, draining),
 				change(3*s, 1, "a ready@7", 10, removed("a", 10)),
