Agree on a lost version of the configuration that has two contents

What callers saw: nothing on real processes; found by the review of the fix. Hosts with the same lost version in two contents would pull from each other without end, and a version that the operator writes again with another content would not be in force.

Cause: of two configurations with one version a host kept its own, but the marks compare the content.

Change: of two lost contents all hosts choose the same. What the store has wins over a lost content of the same version.

--- a/internal/inventory/lost_config.go
+++ b/internal/inventory/lost_config.go
@@ -1,6 +1,8 @@
 package inventory
 
 import (
+	"bytes"
+
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
@@ -46,14 +48,16 @@
 }
 
 // putLostConfig applies a configuration that a peer has kept, if its version is the
-// highest.
+// highest. Of two with that version, all hosts choose the same.
 func (s *State) putLostConfig(o Object) {
 	config, err := s.decodeConfig(o)
 	if err != nil {
 		s.onSkip(Configuration, o, err)
 		return
 	}
-	if s.view.Config != nil && config.Version <= s.view.Config.Version {
+	held := s.objects[Configuration][o.Name]
+	if s.view.Config != nil && (config.Version < s.view.Config.Version ||
+		config.Version == s.view.Config.Version && (!held.isLost() || bytes.Compare(o.Body, held.Body) <= 0)) {
 		return
 	}
 	s.view.Config = config
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -280,14 +280,15 @@
 }
 
 // putConfig applies a configuration unless its version is lower than the current
-// one.
+// one. The version that the store has lost may be written again with another content.
 func (s *State) putConfig(o Object) {
 	config, err := s.decodeConfig(o)
 	if err != nil {
 		s.onSkip(Configuration, o, err)
 		return
 	}
-	if s.view.Config == nil || config.Version > s.view.Config.Version {
+	lost := s.objects[Configuration][o.Name].isLost()
+	if s.view.Config == nil || config.Version > s.view.Config.Version || lost && config.Version == s.view.Config.Version {
 		s.view.Config = config
 	}
 }
