Ask for the changes beside a watch, and leave the watch

With a store whose calls take 0.9 s or more while its probes are fast, and that is written to all the time, a configuration was never in force; a store that served probes only was never lost, so nobody replaced its readers.

Cause: a watch that had not returned for a write was ended and begun again, for good if the store took longer to respond. An ended watch counts neither as a response nor as a failure.

Change: the watch stays, and a call beside it asks for the changes at once. If there are any, the store has forgotten the watch. If the call fails, it counts as any other. The check of the era is made together with the start of the watch: an era that was learnt in between left the watch waiting for 5 s.

--- a/internal/host/era_fleet_test.go
+++ b/internal/host/era_fleet_test.go
@@ -112,6 +112,11 @@
 	return inventory.Batch{Position: batch.Position}, nil
 }
 
+// Changes implements Store.
+func (c *eraClient) Changes(_ context.Context, of inventory.Collection, _ model.Position) (inventory.Batch, error) {
+	return inventory.Batch{Position: c.respond(of).Position}, nil
+}
+
 // Probe implements Store.
 func (c *eraClient) Probe(context.Context) (model.Position, error) {
 	return c.respond(inventory.Evacuations).Position, nil
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -64,6 +64,16 @@
 	Position model.Position
 }
 
+// countAfter returns the number of objects that were changed after a position.
+func (b Batch) countAfter(at model.Position) (count int) {
+	for _, o := range b.Objects {
+		if o.Position.After(at) {
+			count++
+		}
+	}
+	return count
+}
+
 // InEra returns the batch and its objects with their positions in the era.
 func (b Batch) InEra(era model.Era) Batch {
 	objects := make([]Object, len(b.Objects))
@@ -91,6 +101,8 @@
 	// none after a time that the Source chooses. The batch belongs to a later era if
 	// the store has come back from an older copy while the watch waited.
 	Watch(ctx context.Context, c Collection, after model.Position) (Batch, error)
+	// Changes returns the changes after the position at once.
+	Changes(ctx context.Context, c Collection, after model.Position) (Batch, error)
 	// Probe returns no error if the store serves this host. It costs less than the
 	// other calls. The position may be seconds old.
 	Probe(ctx context.Context) (model.Position, error)
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -223,14 +223,6 @@
 	return asOf.IsZero() || asOf.Era < r.eras.known || r.relist[c]
 }
 
-// canWatch reports whether a collection can be watched from the position. A peer may
-// have sent the content of a later era.
-func (r *Reader) canWatch(c Collection, after model.Position) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.needsListingLocked(c) && after.Era == r.state.asOf[c].Era
-}
-
 // relistAll has all collections listed again: a store that has dropped its
 // history may have dropped every watch without ending the calls.
 func (r *Reader) relistAll(except Collection) {
@@ -247,10 +239,9 @@
 // watch watches a collection until the role of this host ends, the store is
 // lost or in a later era, or its history is gone.
 func (r *Reader) watch(ctx context.Context, c Collection, after model.Position, pause *pause) (historyGone bool) {
-	for ctx.Err() == nil && r.role(r.now()) && r.canWatch(c, after) {
+	for ctx.Err() == nil && r.role(r.now()) {
 		watchCtx, cancel := context.WithCancel(ctx)
-		missed, ok := r.beginWatch(c, after, cancel)
-		if !ok {
+		if !r.beginWatch(c, after, cancel) {
 			cancel()
 			return false
 		}
@@ -279,7 +270,6 @@
 			continue
 		}
 		pause.reset()
-		r.logForgotten(c, batch, missed)
 		r.applyChanges(c, batch)
 		after = batch.Position
 		if c == Servers && len(batch.Objects) > 0 {
@@ -289,20 +279,6 @@
 	return false
 }
 
-// logForgotten logs the changes up to a position, which the watch before should have
-// returned.
-func (r *Reader) logForgotten(c Collection, batch Batch, missed model.Position) {
-	forgotten := 0
-	for _, o := range batch.Objects {
-		if !o.Position.After(missed) {
-			forgotten++
-		}
-	}
-	if forgotten > 0 {
-		r.log.Emit(events.WatchForgotten, events.Subject(c.String()), events.Count(forgotten))
-	}
-}
-
 // applyListed applies a listing of the store. held is the position that this host held
 // when the call began: a listing from before it shows that the store has gone back.
 func (r *Reader) applyListed(c Collection, held model.Position, batch Batch) {
--- a/internal/inventory/supervise.go
+++ b/internal/inventory/supervise.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -46,8 +47,8 @@
 // ends or the store is lost, because a watch on a dead connection would wait
 // forever.
 func (r *Reader) supervise(ctx context.Context) {
-	var probes sync.WaitGroup
-	defer probes.Wait()
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -59,7 +60,10 @@
 		reading := r.role(r.now())
 		r.applyRoleAndHealth(reading)
 		if began, due := r.beginProbe(); due {
-			probes.Go(func() { r.probe(ctx, began) })
+			calls.Go(func() { r.probe(ctx, began) })
+		}
+		for _, watch := range r.beginChecks() {
+			calls.Go(func() { r.check(ctx, watch) })
 		}
 		timer.Reset(r.untilNextCheck())
 	}
@@ -76,7 +80,6 @@
 	if !reading || changed && lost {
 		r.watches.cancelAll()
 	}
-	r.watches.cancelOverdue(now, r.health.probeTimeout)
 	r.logRole(reading)
 	if changed && lost {
 		r.log.Emit(events.StoreLost, events.Elapsed(now.Sub(r.health.failingSince())))
@@ -168,16 +171,56 @@
 	r.state.RecordStoreRecovery(r.now())
 }
 
+// beginChecks returns the watches for which the store is to be asked beside them.
+func (r *Reader) beginChecks() []*waitingWatch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.health.isUnresponsive() {
+		return nil
+	}
+	return r.watches.beginChecks(r.now())
+}
+
+// check asks the store for the changes that a watch waits for. If there are any, the
+// store has forgotten the watch.
+func (r *Reader) check(ctx context.Context, watch *waitingWatch) {
+	c, began := watch.collection, r.now()
+	after := r.Mark(c).AsOf
+	batch, err := r.source.Changes(ctx, c, after)
+	gone := errors.Is(err, ErrHistoryGone)
+	if gone {
+		err = nil
+	}
+	served := r.recordCall(ctx, c, began, err)
+	batch = r.inKnownEra(batch, after.Era)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watches.endCheck(r.now(), watch, !served)
+	switch held := r.state.asOf[c]; {
+	case !served || held.Era != after.Era:
+	case gone:
+		// The next watch gets the same response.
+		watch.cancel()
+	case batch.Position.Era == after.Era:
+		if forgotten := batch.countAfter(held); forgotten > 0 {
+			r.log.Emit(events.WatchForgotten, events.Subject(c.String()), events.Count(forgotten))
+			watch.cancel()
+		}
+		r.applyRead(c, batch, false)
+	}
+}
+
 // beginWatch registers the cancel function of a watch, for when the store is lost.
-// It reports whether the watch may start, and up to which position the one before
-// should have returned changes if it was overdue.
-func (r *Reader) beginWatch(c Collection, after model.Position, cancel context.CancelFunc) (missed model.Position, ok bool) {
+// It reports whether the watch may start: a peer may have sent the content of a later
+// era.
+func (r *Reader) beginWatch(c Collection, after model.Position, cancel context.CancelFunc) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.mayCallLocked(after) {
-		return model.Position{}, false
+	if !r.mayCallLocked(after) || r.needsListingLocked(c) || after.Era != r.state.asOf[c].Era {
+		return false
 	}
-	return r.watches.begin(r.now(), c, cancel), true
+	r.watches.begin(r.now(), c, cancel)
+	return true
 }
 
 func (r *Reader) endWatch(c Collection) {
