End an outage after the last failed call

What callers saw: nothing on real processes; found by the review of the fix. An outage of 3 s went unnoticed, so servers whose entries had lapsed in it would be dropped.

Cause: the outage ended when the call began that was served. A watch that had begun before the first failure made it negative.

Change: it ends no earlier than the last failed call.

Measured: TestOutageEndsAfterTheLastFailedCall fails without the change, with an outage of length 0 in place of 3 s, and holds with it.

--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -528,6 +528,18 @@
 	}
 }
 
+// Guards against an outage that is missed because a watch from before it is served.
+func TestOutageEndsAfterTheLastFailedCall(t *testing.T) {
+	h := newStoreHealth()
+	h.recordProbeEnd(start, start, nil, start)
+	failed := start.Add(3 * time.Second)
+	h.recordFailure(start)
+	h.recordFailure(failed)
+	if ended := h.recordResponse(failed.Add(time.Second), start.Add(-time.Second)); ended.endedAt != failed {
+		t.Errorf("the outage is %+v, want it to end at %v", ended, failed)
+	}
+}
+
 // Guards against a store that stays lost until a watch has waited for its response,
 // although the store holds the watch.
 func TestHeldWatchEndsAnOutage(t *testing.T) {
--- a/internal/inventory/store_health.go
+++ b/internal/inventory/store_health.go
@@ -92,7 +92,7 @@
 	if since := h.failingSince(); !since.IsZero() {
 		ended.endedAt = now
 		if !h.probesServedSince.IsZero() {
-			ended.endedAt = later(began, h.probesServedSince)
+			ended.endedAt = latest(began, h.probesServedSince, h.callFailedAt)
 		}
 		ended.length = ended.endedAt.Sub(since)
 	}
@@ -101,12 +101,7 @@
 	return ended
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
 
 // recordFailure records a failed call.
 func (h *storeHealth) recordFailure(now time.Time) {
