Ask the store where a host without eras has newer content

What callers saw: nothing on real processes; shown by the review of the fix in a test of the host's decisions. While a fleet that is stuck since a return of the store is replaced host by host, a new host pulled the old content from the hosts of the version before, whose revision was higher, and refused what the store wrote below it.

Cause: a message without an era was taken to be of the era that the receiver holds.

Change: a host that knows an era pulls nothing from hosts that don't. If their revision is higher and their content another, it lists the collection in the store once, also if it does not read the store otherwise, at most once a second. Changes are taken as before, if they apply to the content of this host.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -98,6 +98,9 @@
 	// newerMu guards newer: the peers that have newer content of a collection.
 	newerMu sync.Mutex
 	newer   map[inventory.Collection]newerPeer
+	// asked has the latest requests of the store for peers that don't know eras. It is
+	// guarded by newerMu.
+	asked map[inventory.Collection]askedStore
 	// pullWake wakes the goroutine that pulls newer content from peers.
 	pullWake chan struct{}
 	// readersLostStore is guarded by newerMu.
@@ -138,6 +141,7 @@
 		responseMemory: bounded.New(int64(float64(s.Memory) * responseMemoryShare)),
 		splitters:      make(map[string]*splitter),
 		newer:          make(map[inventory.Collection]newerPeer),
+		asked:          make(map[inventory.Collection]askedStore),
 		pullWake:       make(chan struct{}, 1),
 		inFlight:       newInFlight(),
 	}
--- a/internal/host/pull.go
+++ b/internal/host/pull.go
@@ -215,7 +215,7 @@
 		if !h.isWatched(snapshot.GetCollection()) {
 			continue
 		}
-		batch := snapshotFromWire(snapshot, h.eraByDefault(snapshot.GetCollection()))
+		batch := snapshotFromWire(snapshot)
 		c := inventory.Collection(snapshot.GetCollection())
 		change, changed := h.reader.ApplyListing(c, batch, address)
 		h.Log.Emit(events.StateFromPeer, events.Subject(c.String()), events.Peer(address), events.Count(len(batch.Objects)))
--- a/internal/host/storesync.go
+++ b/internal/host/storesync.go
@@ -23,6 +23,16 @@
 // are pulled.
 const maxPushBytes = 8 << 10
 
+// minAskInterval is the interval at which this host asks the store because of hosts that
+// don't know eras.
+const minAskInterval = time.Second
+
+// askedStore is a mark of such a host for which the store was asked.
+type askedStore struct {
+	mark inventory.Mark
+	at   time.Time
+}
+
 // checkReaders updates whether the readers of the region have lost the store. It
 // is called when a host reports a change of that, and with each heartbeat, since
 // readers also become unresponsive. When the readers regain the store, it
@@ -98,7 +108,7 @@
 		if !h.isWatched(pushed.GetCollection()) {
 			continue
 		}
-		change := changeFromWire(pushed, h.eraByDefault(pushed.GetCollection()))
+		change := changeFromWire(pushed, h.eraOfChanges(pushed.GetCollection()))
 		if !h.reader.ApplyChange(change, message.GetSelf().GetId()) {
 			h.Metrics.Add("pushes_out_of_order", 1)
 		}
@@ -114,19 +124,41 @@
 		if !h.isWatched(state.GetCollection()) {
 			continue
 		}
-		h.compareMark(inventory.Collection(state.GetCollection()), newerPeer{
+		c, mark := inventory.Collection(state.GetCollection()), markFromWire(state)
+		if state.Era == nil && h.reader.Era() > 0 {
+			h.compareWithoutEra(now, c, mark)
+			continue
+		}
+		h.compareMark(c, newerPeer{
 			address: peer.PeerAddress,
-			mark:    markFromWire(state, h.eraByDefault(state.GetCollection())),
+			mark:    mark,
 			since:   now,
 			remote:  peer.Region != h.Settings.Region,
 		})
 	}
 }
 
-// eraByDefault returns the era of messages of hosts that don't know eras: the one of this
-// host's content, until the store has come back from an older copy, and 0 from then on,
-// since their content may be of an earlier era.
-func (h *Host) eraByDefault(collection uint32) model.Era {
+// compareWithoutEra compares the mark of a peer that does not know eras. Its revision may
+// be of an earlier era than those of this host, so its content is never pulled. If it may
+// be newer, this host asks the store.
+func (h *Host) compareWithoutEra(now time.Time, c inventory.Collection, theirs inventory.Mark) {
+	mine := h.reader.Mark(c)
+	if theirs.Digest == mine.Digest || theirs.AsOf.Revision <= mine.AsOf.Revision {
+		return
+	}
+	h.newerMu.Lock()
+	defer h.newerMu.Unlock()
+	if asked := h.asked[c]; asked.mark == theirs || now.Sub(asked.at) < minAskInterval {
+		return
+	}
+	h.asked[c] = askedStore{theirs, now}
+	h.reader.RequestListing(c)
+}
+
+// eraOfChanges returns the era of changes from hosts that don't know eras. They apply to
+// content that is the same here, so it is that of this host's content, until the store has
+// come back from an older copy.
+func (h *Host) eraOfChanges(collection uint32) model.Era {
 	if changes, _ := h.reader.EraCounts(); changes > 0 {
 		return 0
 	}
--- a/internal/host/storewire.go
+++ b/internal/host/storewire.go
@@ -43,9 +43,9 @@
 	}
 }
 
-// snapshotFromWire returns the listing in a message; see changeFromWire.
-func snapshotFromWire(snapshot *wirepb.CollectionSnapshot, byDefault model.Era) inventory.Batch {
-	era := eraFromWire(snapshot.Era, byDefault)
+// snapshotFromWire returns the listing in a message, of era 0 if it states none.
+func snapshotFromWire(snapshot *wirepb.CollectionSnapshot) inventory.Batch {
+	era := eraFromWire(snapshot.Era, 0)
 	return inventory.Batch{
 		Objects:  objectsFromWire(snapshot.GetObjects(), era),
 		Position: model.Position{Era: era, Revision: snapshot.GetAsOf()},
@@ -56,10 +56,10 @@
 	return &wirepb.CollectionState{Collection: uint32(c), AsOf: mark.AsOf.Revision, Era: eraToWire(mark.AsOf), Digest: mark.Digest, HasLost: mark.HasLost}
 }
 
-// markFromWire returns the mark in a message; see changeFromWire.
-func markFromWire(state *wirepb.CollectionState, byDefault model.Era) inventory.Mark {
+// markFromWire returns the mark in a message, of era 0 if it states none.
+func markFromWire(state *wirepb.CollectionState) inventory.Mark {
 	return inventory.Mark{
-		AsOf:    model.Position{Era: eraFromWire(state.Era, byDefault), Revision: state.GetAsOf()},
+		AsOf:    model.Position{Era: eraFromWire(state.Era, 0), Revision: state.GetAsOf()},
 		Digest:  state.GetDigest(),
 		HasLost: state.GetHasLost(),
 	}
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -73,8 +73,9 @@
 	reading, lost bool
 	watches       watches
 	eras          eras
-	// relist are the collections whose history the store may have dropped.
-	relist map[Collection]bool
+	// relist are the collections whose history the store may have dropped; requested those
+	// that are to be listed whether this host reads the store or not.
+	relist, requested map[Collection]bool
 
 	view               atomic.Pointer[View]
 	onView             func(*View)
@@ -106,6 +107,7 @@
 		watches:        newWatches(),
 		confirmedAt:    make(map[Collection]time.Time),
 		relist:         make(map[Collection]bool),
+		requested:      make(map[Collection]bool),
 	}
 	r.state = NewState(decoder, r.logSkippedEntry)
 	r.view.Store(r.state.View())
@@ -179,11 +181,12 @@
 	pause := newPause()
 	for ctx.Err() == nil {
 		after, responded := r.Mark(c).AsOf, r.nextProbeResponse()
-		if !after.IsZero() && !r.role(r.now()) {
+		requested := r.isListingRequested(c)
+		if !after.IsZero() && !requested && !r.role(r.now()) {
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
-		if !r.mayCall(after) {
+		if !requested && !r.mayCall(after) {
 			waitFor(ctx, responded, roleCheckInterval)
 			continue
 		}
@@ -220,7 +223,20 @@
 // needsListingLocked is needsListing with the lock held.
 func (r *Reader) needsListingLocked(c Collection) bool {
 	asOf := r.state.asOf[c]
-	return asOf.IsZero() || asOf.Era < r.eras.known || r.relist[c]
+	return asOf.IsZero() || asOf.Era < r.eras.known || r.relist[c] || r.requested[c]
+}
+
+// RequestListing has a collection listed once by a host that does not read the store.
+func (r *Reader) RequestListing(c Collection) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requested[c] = !r.reading
+}
+
+func (r *Reader) isListingRequested(c Collection) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.requested[c]
 }
 
 // relistAll has all collections listed again: a store that has dropped its
@@ -285,6 +301,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.relist, c)
+	delete(r.requested, c)
 	if batch.Position.Era == held.Era && batch.Position.Before(held) {
 		r.state.Restart(c)
 	}
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -423,6 +423,26 @@
 	})
 }
 
+// Guards against a host that never gets what only hosts without eras have told it.
+func TestListingIsReadOnceOnRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFaultyStore()
+		r := runReader(t, store, func(time.Time) bool { return false })
+		store.put("v2")
+		r.RequestListing(Configuration)
+		time.Sleep(configBound)
+		if got := version(r); got != 2 {
+			t.Errorf("version %d is in effect after the request, want 2", got)
+		}
+		calls, _ := store.counts()
+		store.put("v3")
+		time.Sleep(time.Minute)
+		if made, _ := store.counts(); made != calls || version(r) != 2 {
+			t.Errorf("%d more calls without a request, version %d", made-calls, version(r))
+		}
+	})
+}
+
 // Guards against changes that peers miss because a reader found them in a listing
 // after the store had dropped its history.
 func TestChangesFoundInAListingCanBeApplied(t *testing.T) {
