Do not take hanging calls for watches that the store holds

What callers saw: nothing on real processes; found on reading the change again. A reader whose calls wait without a response, while probes are served, would be kept for most of the time.

Cause: a watch that waits was taken as a sign that the store serves calls, also after calls that had timed out.

Change: it is one only if the calls before it failed by a response or a reset. A host that lists a collection on request waits until probes don't fail.

Measured: TestHangingCallsAreNotTakenForHeldWatches fails without the change and holds with it.

--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -186,7 +186,8 @@
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
-		if !requested && !r.mayCall(after) {
+		// A host that does not read the store does not probe it.
+		if !r.mayCall(after) && !(requested && r.mayCall(model.Position{})) {
 			waitFor(ctx, responded, roleCheckInterval)
 			continue
 		}
@@ -434,7 +435,7 @@
 	now := r.now()
 	if err != nil {
 		r.failures.Add(1)
-		r.health.recordFailure(now)
+		r.health.recordFailure(now, began)
 		r.log.Emit(events.StoreCallFailed, events.Subject(c.String()), events.Reason(err), events.Elapsed(now.Sub(r.health.failingSince())))
 		return false
 	}
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -520,7 +520,7 @@
 // serves probes from stale data: a reader that can't read has to be replaced.
 func TestProbesDoNotHideFailedCalls(t *testing.T) {
 	h := newStoreHealth()
-	h.recordFailure(start)
+	h.recordFailure(start, start)
 	h.recordProbeStart(start)
 	later := start.Add(lostAfter)
 	h.recordProbeEnd(later, start, nil, time.Time{})
@@ -537,7 +537,7 @@
 // that a server which leaves meanwhile is taken for one whose entry has lapsed.
 func TestOutageEndsBeforeTheWatchThatWaits(t *testing.T) {
 	h := newStoreHealth()
-	h.recordFailure(start)
+	h.recordFailure(start, start)
 	probed, began := start.Add(600*time.Millisecond), start.Add(700*time.Millisecond)
 	h.recordProbeStart(probed)
 	if ended := h.recordProbeEnd(probed, probed, nil, time.Time{}); ended != (outage{}) {
@@ -553,8 +553,8 @@
 	h := newStoreHealth()
 	h.recordProbeEnd(start, start, nil, start)
 	failed := start.Add(3 * time.Second)
-	h.recordFailure(start)
-	h.recordFailure(failed)
+	h.recordFailure(start, start)
+	h.recordFailure(failed, failed)
 	if ended := h.recordResponse(failed.Add(time.Second), start.Add(-time.Second)); ended.endedAt != failed {
 		t.Errorf("the outage is %+v, want it to end at %v", ended, failed)
 	}
@@ -564,7 +564,7 @@
 // although the store holds the watch.
 func TestHeldWatchEndsAnOutage(t *testing.T) {
 	h, w := newStoreHealth(), newWatches()
-	h.recordFailure(start)
+	h.recordFailure(start, start)
 	began := start.Add(time.Second)
 	w.begin(began, Configuration, func() {})
 	for _, probe := range []struct{ began, now time.Duration }{
@@ -583,12 +583,30 @@
 	}
 }
 
+// Guards against a reader that is kept although its calls wait without a response, because
+// the store serves probes.
+func TestHangingCallsAreNotTakenForHeldWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFaultyStore()
+		r := runReader(t, store, always)
+		store.mu.Lock()
+		store.servesProbesOnly = true
+		store.mu.Unlock()
+		time.Sleep(2 * watchTimeout)
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			if !r.StoreLost() {
+				t.Fatal("the store is not lost")
+			}
+		}
+	})
+}
+
 // Guards against an outage that ends before the store responds, while calls wait.
 func TestOutageLastsWhileProbesFail(t *testing.T) {
 	h := newStoreHealth()
 	h.recordProbeStart(start)
 	h.recordProbeEnd(start, start, nil, time.Time{})
-	h.recordFailure(start.Add(time.Second))
+	h.recordFailure(start.Add(time.Second), start.Add(time.Second))
 	h.recordProbeStart(start.Add(time.Second))
 	h.checkProbeTimeout(start.Add(2 * time.Second))
 	began, now := start.Add(2*time.Second), start.Add(5*time.Second)
--- a/internal/inventory/restored.go
+++ b/internal/inventory/restored.go
@@ -33,8 +33,8 @@
 type restored struct {
 	// departed are the servers that have left within departureMemory.
 	departed map[string]departure
-	// left are the servers that had left and that the copy lists, with the time until
-	// which they count as draining.
+	// left are the servers that had left, or that have started again since, and that the
+	// copy lists, with the time from which on their entry applies.
 	left map[string]time.Time
 	// evacuations are the failure domains whose evacuation is in effect, or not,
 	// although the copy says otherwise, with the time until which it is.
--- a/internal/inventory/store_health.go
+++ b/internal/inventory/store_health.go
@@ -41,8 +41,10 @@
 	// probesServedSince is the time of the first response in the current run of probes
 	// that got one.
 	probesServedSince time.Time
-	// callFailedAt is the time of the last failed call.
+	// callFailedAt is the time of the last failed call; callsHang is true if one has
+	// failed without a response since the last response to a call.
 	callFailedAt time.Time
+	callsHang    bool
 	// pendingProbes are the start times of the probes that wait for a response,
 	// the oldest first.
 	pendingProbes []time.Time
@@ -96,16 +98,17 @@
 		}
 		ended.length = ended.endedAt.Sub(since)
 	}
-	h.callsFailingSince = time.Time{}
+	h.callsFailingSince, h.callsHang = time.Time{}, false
 	h.recordServed(now)
 	return ended
 }
 
 func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
 
-// recordFailure records a failed call.
-func (h *storeHealth) recordFailure(now time.Time) {
+// recordFailure records a failed call that began at that time.
+func (h *storeHealth) recordFailure(now, began time.Time) {
 	h.callFailedAt = now
+	h.callsHang = h.callsHang || now.Sub(began) >= h.probeTimeout
 	if h.callsFailingSince.IsZero() {
 		h.callsFailingSince = now
 	}
--- a/internal/inventory/supervise.go
+++ b/internal/inventory/supervise.go
@@ -142,7 +142,7 @@
 	now := r.now()
 	served := now // for a host that makes no calls, a probe is enough
 	if r.reading {
-		served = r.watches.heldSince(now, began, r.health.probeTimeout)
+		served = r.servedSince(now, began)
 	}
 	r.recordOutageEnd(r.health.recordProbeEnd(now, began, err, served))
 	if err != nil {
@@ -154,6 +154,16 @@
 	r.probeResponded = make(chan struct{})
 }
 
+// servedSince returns since when a waiting watch has shown that the store serves calls, or
+// zero. It shows nothing while the store lets calls wait without a response. It is called
+// with the lock held.
+func (r *Reader) servedSince(now, probed time.Time) time.Time {
+	if r.health.callsHang {
+		return time.Time{}
+	}
+	return r.watches.heldSince(now, probed, r.health.probeTimeout)
+}
+
 // recordOutageEnd records that the store has recovered if the outage was long
 // enough to count as one. It is called with the lock held.
 func (r *Reader) recordOutageEnd(ended outage) {
