Keep an evacuation that the copy lacks for 8 s

What callers saw: nothing on real processes; by reading, in the review of the fix: requests to a failure domain whose evacuation was never taken back, if the operator asks for it again later than 2.5 s after the return of the store.

Cause: the time was that of servers that register again by themselves.

Change: 8 s, the time after which all that the copy has wrongly is over. Too long an evacuation costs capacity only.

--- a/internal/inventory/restored.go
+++ b/internal/inventory/restored.go
@@ -16,6 +16,9 @@
 	// leaveGrace is how long a server that had left, and that the copy lists, gets no
 	// requests. Entries of servers that don't run expire within that time.
 	leaveGrace = 8 * time.Second
+	// lostEvacuationGrace is how long an evacuation that the copy lacks stays in effect,
+	// for the operator to ask for it again. It only costs capacity.
+	lostEvacuationGrace = leaveGrace
 	// departureMemory is how long a host remembers what has left or was released. It
 	// bounds how old a copy may be.
 	departureMemory = time.Minute
@@ -62,7 +65,9 @@
 		}
 	case Evacuations:
 		for domain := range s.restored.evacuations {
-			s.restored.evacuations[domain] = now.Add(lapseGrace)
+			if s.view.Evacuated[domain] {
+				s.restored.evacuations[domain] = now.Add(lostEvacuationGrace)
+			}
 		}
 	}
 	return true
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -302,7 +302,7 @@
 	case Evacuations:
 		s.deleteObject(c, name)
 		if newEra && s.view.Evacuated[name] {
-			s.restored.evacuations[name] = now.Add(lapseGrace)
+			s.restored.evacuations[name] = now.Add(lostEvacuationGrace)
 			return
 		}
 		s.release(now, name)
