Infer the era of a store that goes back without stating one

What callers saw: nothing on real processes; shown by the review of the fix in memory. With a store that states no eras and comes back from an older copy, a new version at a lower revision than the held one was not in force after 10 s.

Cause: only a stated era ordered the positions before and after.

Change: if the store states none, a listing that began after a position was held, and has a lower one, begins the next era. It takes the place of a reset of the position, which still refused entries with lower revisions. Watches that the store lets wait are noticed when its counter has passed, as before.

Measured: TestStoreThatGoesBackWithoutAnEraIsFollowed holds; the same case failed in the review on the code before.

--- a/internal/inventory/era.go
+++ b/internal/inventory/era.go
@@ -69,6 +69,18 @@
 	return batch.InEra(known)
 }
 
+// inInferredEra returns a listing from before what this host held when the call began in
+// the next era, if the store does not state eras: it shows that the store has gone back.
+func (r *Reader) inInferredEra(batch Batch) Batch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.eras.stated || batch.Position.Era < r.eras.known {
+		return batch
+	}
+	r.learnEra(batch.Position.Era + 1)
+	return batch.InEra(r.eras.known)
+}
+
 // logEra records the era of new content. It logs the first content that follows that of
 // an earlier era. It is called with the lock held.
 func (r *Reader) logEra(change Change, sender string) {
--- a/internal/inventory/era_test.go
+++ b/internal/inventory/era_test.go
@@ -218,3 +218,29 @@
 		})
 	}
 }
+
+// Guards against a store that goes back without a word and is not followed until its
+// revision has passed the old one.
+func TestStoreThatGoesBackWithoutAnEraIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFaultyStore()
+		r := runReader(t, store, always)
+		for range 50 {
+			store.touch()
+		}
+		store.put("v2")
+		pass(configBound)
+		store.mu.Lock()
+		store.revision, store.config = 4, object("main", 1, "v1")
+		store.mu.Unlock()
+		store.put("v3")
+		pass(configBound)
+		expectVersion(t, r, 3)
+		if changes, _ := r.EraCounts(); changes != 1 || r.Era() != 1 {
+			t.Errorf("%d changes of the era to %d, want one to 1", changes, r.Era())
+		}
+		store.put("v4")
+		pass(configBound)
+		expectVersion(t, r, 4)
+	})
+}
--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -199,12 +199,15 @@
 				continue
 			}
 			batch = r.inKnownEra(batch, era)
+			if batch.Position.Before(after) {
+				batch = r.inInferredEra(batch)
+			}
 			if batch.Position.Era < r.Era() {
 				// The store has changed its era since it responded.
 				pause.wait(ctx)
 				continue
 			}
-			r.applyListed(c, after, batch)
+			r.applyListed(c, batch)
 			after = batch.Position
 		}
 		pause.reset()
@@ -296,16 +299,12 @@
 	return false
 }
 
-// applyListed applies a listing of the store. held is the position that this host held
-// when the call began: a listing from before it shows that the store has gone back.
-func (r *Reader) applyListed(c Collection, held model.Position, batch Batch) {
+// applyListed applies a listing of the store.
+func (r *Reader) applyListed(c Collection, batch Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.relist, c)
 	delete(r.requested, c)
-	if batch.Position.Era == held.Era && batch.Position.Before(held) {
-		r.state.Restart(c)
-	}
 	r.applyRead(c, batch, true)
 }
 
--- a/internal/inventory/restored_model_test.go
+++ b/internal/inventory/restored_model_test.go
@@ -185,7 +185,7 @@
 	held := h.Mark(c).AsOf
 	if whole || h.needsListing(c) {
 		batch := m.store.list(c)
-		m.send(h, c, "listing", batch, func() { h.applyListed(c, held, batch) })
+		m.send(h, c, "listing", batch, func() { h.applyListed(c, batch) })
 		return
 	}
 	if batch, ok := m.store.watch(c, held); !ok {
@@ -346,7 +346,7 @@
 	for i, h := range m.hosts {
 		for _, c := range WatchedCollections {
 			if i%2 == 0 {
-				h.applyListed(c, h.Mark(c).AsOf, m.store.list(c))
+				h.applyListed(c, m.store.list(c))
 			} else {
 				snapshot := m.hosts[0].Snapshot(c)
 				h.ApplyListing(c, snapshot.InEra(snapshot.Position.Era), "peer")
--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -84,10 +84,6 @@
 	}
 }
 
-// Restart forgets the position of a collection, for a listing of a store that has gone
-// back without stating a later era.
-func (s *State) Restart(c Collection) { s.asOf[c] = model.Position{Era: s.asOf[c].Era} }
-
 // ApplyListing replaces a whole collection. A listing that is older than the
 // current content changes nothing.
 func (s *State) ApplyListing(now time.Time, c Collection, batch Batch) {
