--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -197,8 +197,9 @@
 	return rendezvous.Score(o.Name, strconv.FormatUint(o.Position.Revision, 10))
 }
 
-// put adds or replaces an object; the held one is left as it is. newEra is true if it is read with the first content
-// of an era.
+// put adds or replaces an object. The one that is held changes nothing, so that what is
+// kept from before an era stays. newEra is true if the object is read with the first
+// content of an era.
 func (s *State) put(now time.Time, c Collection, o Object, newEra bool) {
 	if c == Configuration && o.isLost() {
 		s.putLostConfig(o)
