--- a/internal/events/table.go
+++ b/internal/events/table.go
@@ -185,7 +185,7 @@
 	{StoreLost, logrus.WarnLevel, "store-lost", fields(FieldElapsed), "The store has not responded for this long; peers are notified to read it instead."},
 	{StoreRestored, logrus.WarnLevel, "store-restored", fields(FieldSubject, FieldPeer, FieldReason), "The store has come back from an older copy, in a higher era. The reason has the positions before and after of the collection that was read first, and the peer is the one that sent it, if this host did not read it from the store."},
 	{StoreEraUnstated, logrus.InfoLevel, "store-era-unstated", nil, "A response of the store does not state a valid era. The era that was stated last counts; a store that states none and comes back from an older copy is only recognized if it refuses a watch and then lists a lower revision. Logged once; the counter store_eras has all."},
-	{WatchForgotten, logrus.WarnLevel, "store-watch-forgotten", fields(FieldSubject, FieldCount), "The store has not returned this many changes to a watch that waited for them. The watch was begun again, because other responses showed that the store had written since."},
+	{WatchForgotten, logrus.WarnLevel, "store-watch-forgotten", fields(FieldSubject, FieldCount), "The store has not returned this many changes to a watch that waited for them. A call beside the watch has read them, because other responses showed that the store had written since; another watch follows."},
 	{HostListStale, logrus.WarnLevel, "host-list-stale", fields(FieldElapsed), "The platform's host list could not be read for this long."},
 
 	{PromotionAccepted, logrus.InfoLevel, "promotion-accepted", fields(FieldEnvironment, FieldGeneration, FieldAuthor), "A document was written to the store."},
