Tests: one network for the fleets in memory

Cause: two test files had a network each, and a puller that did the same.

Change: fleet_network_test.go has both; the latency between regions is that of the fleet.

--- a/internal/host/era_fleet_test.go
+++ b/internal/host/era_fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,15 +15,13 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
-	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
-// Latencies of the store, and of messages within a region and between regions.
+// Latencies of calls to the store and of messages between regions.
 const (
-	storeLatency  = 20 * time.Millisecond
-	localLatency  = time.Millisecond
-	remoteLatency = 40 * time.Millisecond
+	eraStoreLatency  = 20 * time.Millisecond
+	eraRemoteLatency = 40 * time.Millisecond
 )
 
 // eraStore is a store in memory that can come back in a later era.
@@ -78,7 +75,7 @@
 
 // respond takes the time of a call and states the era.
 func (c *eraClient) respond(of inventory.Collection) inventory.Batch {
-	time.Sleep(rand.N(2 * storeLatency))
+	time.Sleep(rand.N(2 * eraStoreLatency))
 	c.mu.Lock()
 	batch := c.content(of)
 	if c.calls++; c.calls == 1 {
@@ -133,91 +130,39 @@
 // Delete implements Store.
 func (c *eraClient) Delete(context.Context, inventory.Collection, string) error { return nil }
 
-// memoryFleet is a fleet of hosts that send each other messages in memory.
-type memoryFleet []*Host
-
-// memorySocket is the socket of a host of a memoryFleet.
-type memorySocket struct {
-	net.PacketConn
-	fleet memoryFleet
-	from  *Host
-}
-
-// WriteTo implements net.PacketConn.
-func (s memorySocket) WriteTo(datagram []byte, to net.Addr) (int, error) {
-	host := s.fleet[to.(*net.UDPAddr).Port-1]
-	time.AfterFunc(latency(s.from, host), func() { host.receiveDatagram(datagram) })
-	return len(datagram), nil
+// eraFleet is a fleet of hosts that read a store.
+type eraFleet struct {
+	hosts   []*Host
+	network *fleetNetwork
 }
 
-func latency(a, b *Host) time.Duration {
-	if a.Settings.Region == b.Settings.Region {
-		return localLatency
-	}
-	return remoteLatency
-}
-
-func newMemoryFleet(n int, store *eraStore) memoryFleet {
-	fleet := make(memoryFleet, n)
-	for i := range fleet {
+func newEraFleet(n int, store *eraStore) *eraFleet {
+	f := &eraFleet{network: newFleetNetwork(eraRemoteLatency)}
+	for i := range n {
 		region := fmt.Sprint("r-", i%fleetRegions)
 		s := &Settings{ID: fmt.Sprint("h-", i), Region: region, Domain: region, RegionOf: map[string]string{region: region}, Seeds: []string{"127.0.0.1:1", "127.0.0.1:2"}}
 		s.Listen.Peers = fmt.Sprint("127.0.0.1:", i+1)
-		fleet[i] = New(Base{Settings: s, Store: &eraClient{eraStore: store}, Decoder: textDecoder{}, Metrics: metrics.New(), Log: events.New(io.Discard, logrus.ErrorLevel, time.Now)})
+		f.hosts = append(f.hosts, New(Base{Settings: s, Store: &eraClient{eraStore: store}, Decoder: textDecoder{}, Metrics: metrics.New(), Log: events.New(io.Discard, logrus.ErrorLevel, time.Now)}))
 	}
-	return fleet
+	return f
 }
 
-func (f memoryFleet) run(ctx context.Context, running *sync.WaitGroup) {
-	for _, h := range f {
-		var socket net.PacketConn = memorySocket{fleet: f, from: h}
-		h.heartbeatSocket.Store(&socket)
+func (f *eraFleet) run(ctx context.Context, running *sync.WaitGroup) {
+	for _, h := range f.hosts {
 		running.Go(func() {
 			time.Sleep(rand.N(fleetSettled / 8))
-			running.Go(func() { h.reader.Run(ctx) })
-			running.Go(func() { f.pullNewer(ctx, h) })
-			h.runHeartbeats(ctx, socket)
+			f.network.run(ctx, running, h)
 		})
 	}
 }
 
-// pullNewer is Host.pullNewer without connections.
-func (f memoryFleet) pullNewer(ctx context.Context, h *Host) {
-	next := time.Duration(0)
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-h.pullWake:
-		case <-time.After(next):
-		}
-		var due map[string][]duePull
-		due, next = h.duePulls(time.Now())
-		for address, pulls := range due {
-			peer, reply := f[addressIndex(address)], &wirepb.SnapshotReply{}
-			time.Sleep(latency(h, peer))
-			remote := make(map[inventory.Collection]bool)
-			for _, p := range pulls {
-				reply.Collections = append(reply.Collections, snapshotToWire(uint32(p.collection), peer.reader.Snapshot(p.collection)))
-				remote[p.collection] = p.peer.remote
-			}
-			time.Sleep(latency(h, peer))
-			h.applySnapshots(reply, address, remote)
-		}
-	}
-}
-
-func addressIndex(address string) (index int) {
-	_, _ = fmt.Sscanf(address, "127.0.0.1:%d", &index)
-	return index - 1
-}
-
 // agrees reports whether all hosts hold the content of the store in its present era.
-func (f memoryFleet) agrees(store *eraStore) bool {
-	want := f[0].reader.Mark(inventory.Servers)
+func (f *eraFleet) agrees(store *eraStore) bool {
+	want := f.hosts[0].reader.Mark(inventory.Servers)
 	store.mu.Lock()
 	era, servers := store.position.Era, store.servers
 	store.mu.Unlock()
-	for _, h := range f {
+	for _, h := range f.hosts {
 		for _, c := range inventory.WatchedCollections {
 			if h.reader.Mark(c).AsOf.Era != era {
 				return false
@@ -227,7 +172,7 @@
 			return false
 		}
 	}
-	return len(f[0].reader.Snapshot(inventory.Servers).Objects) == servers
+	return len(f.hosts[0].reader.Snapshot(inventory.Servers).Objects) == servers
 }
 
 // Guards against hosts that use the content of an earlier era for longer than a change
@@ -239,7 +184,7 @@
 			t.Run(fmt.Sprintf("%v gone=%v", size, gone), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					store := &eraStore{position: model.Position{Era: 1, Revision: 100}, servers: size.servers, goneAfter: 200, restored: make(chan struct{})}
-					f := newMemoryFleet(size.hosts, store)
+					f := newEraFleet(size.hosts, store)
 					ctx, cancel := context.WithCancel(t.Context())
 					var running sync.WaitGroup
 					f.run(ctx, &running)
--- a/internal/host/store_outage_fleet_test.go
+++ b/internal/host/store_outage_fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,7 +18,6 @@
 	"github.com/wisteriacrank/wisteriacrank/internal/events"
 	"github.com/wisteriacrank/wisteriacrank/internal/inventory"
 	"github.com/wisteriacrank/wisteriacrank/internal/metrics"
-	"github.com/wisteriacrank/wisteriacrank/internal/wire/wirepb"
 	"github.com/wisteriacrank/wisteriacrank/pkg/model"
 )
 
@@ -34,7 +32,6 @@
 	outageStable = 3 * time.Second
 	outageSeeds  = 40
 	// Latencies of one way between hosts and to the store.
-	outageLocalLatency  = 2 * time.Millisecond
 	outageRemoteLatency = 12 * time.Millisecond
 	outageStoreLatency  = 4 * time.Millisecond
 	// Time limits of calls, as in the client of the store.
@@ -321,92 +318,6 @@
 	return batch, true, changed, nil
 }
 
-// fleetNetwork carries messages between the hosts of a fleet.
-type fleetNetwork struct {
-	mu    sync.Mutex
-	hosts map[string]*Host
-	// isolated hosts exchange no messages. Others lose a share of the datagrams.
-	isolated map[string]bool
-	loss     float64
-	// cutOff is a region whose hosts reach no other region.
-	cutOff string
-}
-
-// path returns the host at an address if messages reach it, and their latency.
-func (n *fleetNetwork) path(from *Host, to string) (*Host, time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	target := n.hosts[to]
-	latency := outageLocalLatency
-	if target != nil && target.Settings.Region != from.Settings.Region {
-		latency = outageRemoteLatency
-	}
-	if target != nil && target.Settings.Region != from.Settings.Region && (target.Settings.Region == n.cutOff || from.Settings.Region == n.cutOff) {
-		return nil, latency
-	}
-	if target == nil || n.isolated[from.Settings.ID] || n.isolated[target.Settings.ID] {
-		return nil, latency
-	}
-	return target, latency
-}
-
-// fleetSocket is the socket for the heartbeats of one host.
-type fleetSocket struct {
-	net.PacketConn
-	network *fleetNetwork
-	host    *Host
-}
-
-func (s fleetSocket) WriteTo(datagram []byte, to net.Addr) (int, error) {
-	target, latency := s.network.path(s.host, to.String())
-	s.network.mu.Lock()
-	loss := s.network.loss
-	s.network.mu.Unlock()
-	if target != nil && rand.Float64() >= loss {
-		copied := slices.Clone(datagram)
-		time.AfterFunc(latency+rand.N(outageLocalLatency), func() { target.receiveDatagram(copied) })
-	}
-	return len(datagram), nil
-}
-
-// runOutagePuller does what pullNewer does, in memory.
-func (n *fleetNetwork) runOutagePuller(ctx context.Context, h *Host) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.pullWake:
-		case <-timer.C:
-		}
-		due, next := h.duePulls(time.Now())
-		for address, pulls := range due {
-			n.pull(h, address, pulls)
-		}
-		timer.Reset(next)
-	}
-}
-
-func (n *fleetNetwork) pull(h *Host, address string, pulls []duePull) {
-	target, latency := n.path(h, address)
-	if target == nil {
-		time.Sleep(pullTimeout)
-		for _, p := range pulls {
-			h.tryNextPeer(p.collection, p.peer)
-		}
-		return
-	}
-	time.Sleep(2 * latency)
-	reply, remote := &wirepb.SnapshotReply{}, make(map[inventory.Collection]bool)
-	for _, p := range pulls {
-		remote[p.collection] = p.peer.remote
-		reply.Collections = append(reply.Collections, snapshotToWire(uint32(p.collection), target.reader.Snapshot(p.collection)))
-	}
-	time.Sleep(latency)
-	h.applySnapshots(reply, address, remote)
-}
-
 // outageFleet is a fleet of hosts that read a store.
 type outageFleet struct {
 	rng     *rand.Rand
@@ -421,7 +332,7 @@
 func newOutageFleet(seed uint64) *outageFleet {
 	f := &outageFleet{
 		rng: rand.New(rand.NewPCG(seed, 0)), store: newFleetStore(), stops: make(map[string]context.CancelFunc), log: &strings.Builder{},
-		network: &fleetNetwork{hosts: make(map[string]*Host), isolated: make(map[string]bool)},
+		network: newFleetNetwork(outageRemoteLatency),
 	}
 	if f.rng.IntN(2) == 0 {
 		// Larger than a push.
@@ -456,14 +367,7 @@
 		Log: events.New(lineWriter{f, s.ID}, logrus.InfoLevel, time.Now)})
 	ctx, stop := context.WithCancel(context.Background())
 	f.stops[s.ID] = stop
-	var socket net.PacketConn = fleetSocket{network: f.network, host: h}
-	h.heartbeatSocket.Store(&socket)
-	f.network.mu.Lock()
-	f.network.hosts[s.Listen.Peers] = h
-	f.network.mu.Unlock()
-	f.running.Go(func() { h.reader.Run(ctx) })
-	f.running.Go(func() { h.runHeartbeats(ctx, socket) })
-	f.running.Go(func() { f.network.runOutagePuller(ctx, h) })
+	f.network.run(ctx, &f.running, h)
 }
 
 // lineWriter collects the log of a host.
