Tell calls that hang from watches that are reset

Cause: a failed call counted as hanging if it had taken long. A watch that had waited and was then reset by the store took long, too, so the outage lasted until the next response.

Change: only a call that timed out counts as hanging.

TestResetWatchIsNotTakenForAHangingCall and the test of hanging calls hold.

--- a/internal/inventory/reader.go
+++ b/internal/inventory/reader.go
@@ -434,7 +434,7 @@
 	now := r.now()
 	if err != nil {
 		r.failures.Add(1)
-		r.health.recordFailure(now, began)
+		r.health.recordFailure(now, errors.Is(err, context.DeadlineExceeded))
 		r.log.Emit(events.StoreCallFailed, events.Subject(c.String()), events.Reason(err), events.Elapsed(now.Sub(r.health.failingSince())))
 		return false
 	}
--- a/internal/inventory/reader_test.go
+++ b/internal/inventory/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -206,7 +207,7 @@
 	s.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
-		return Batch{}, ErrUnavailable
+		return Batch{}, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 	}
 	for waited := false; ; {
 		if err := s.waitForResponse(ctx, epoch); err != nil {
@@ -520,7 +521,7 @@
 // serves probes from stale data: a reader that can't read has to be replaced.
 func TestProbesDoNotHideFailedCalls(t *testing.T) {
 	h := newStoreHealth()
-	h.recordFailure(start, start)
+	h.recordFailure(start, false)
 	h.recordProbeStart(start)
 	later := start.Add(lostAfter)
 	h.recordProbeEnd(later, start, nil, time.Time{})
@@ -537,7 +538,7 @@
 // that a server which leaves meanwhile is taken for one whose entry has lapsed.
 func TestOutageEndsBeforeTheWatchThatWaits(t *testing.T) {
 	h := newStoreHealth()
-	h.recordFailure(start, start)
+	h.recordFailure(start, false)
 	probed, began := start.Add(600*time.Millisecond), start.Add(700*time.Millisecond)
 	h.recordProbeStart(probed)
 	if ended := h.recordProbeEnd(probed, probed, nil, time.Time{}); ended != (outage{}) {
@@ -553,8 +554,8 @@
 	h := newStoreHealth()
 	h.recordProbeEnd(start, start, nil, start)
 	failed := start.Add(3 * time.Second)
-	h.recordFailure(start, start)
-	h.recordFailure(failed, failed)
+	h.recordFailure(start, false)
+	h.recordFailure(failed, false)
 	if ended := h.recordResponse(failed.Add(time.Second), start.Add(-time.Second)); ended.endedAt != failed {
 		t.Errorf("the outage is %+v, want it to end at %v", ended, failed)
 	}
@@ -564,7 +565,7 @@
 // although the store holds the watch.
 func TestHeldWatchEndsAnOutage(t *testing.T) {
 	h, w := newStoreHealth(), newWatches()
-	h.recordFailure(start, start)
+	h.recordFailure(start, false)
 	began := start.Add(time.Second)
 	w.begin(began, Configuration, func() {})
 	for _, probe := range []struct{ began, now time.Duration }{
@@ -601,12 +602,28 @@
 	})
 }
 
+// Guards against a watch that has waited long and is then reset, and that counts as a call
+// without a response.
+func TestResetWatchIsNotTakenForAHangingCall(t *testing.T) {
+	r := NewReader(nil, wordDecoder{}, events.New(io.Discard, logrus.ErrorLevel, time.Now), time.Now, always, Callbacks{})
+	began := time.Now().Add(-watchWait)
+	for _, call := range []struct {
+		err   error
+		hangs bool
+	}{{ErrUnavailable, false}, {fmt.Errorf("%w: %w", ErrUnavailable, context.DeadlineExceeded), true}} {
+		r.recordCall(t.Context(), Configuration, began, call.err)
+		if r.health.callsHang != call.hangs {
+			t.Errorf("calls hang: %v after %v", r.health.callsHang, call.err)
+		}
+	}
+}
+
 // Guards against an outage that ends before the store responds, while calls wait.
 func TestOutageLastsWhileProbesFail(t *testing.T) {
 	h := newStoreHealth()
 	h.recordProbeStart(start)
 	h.recordProbeEnd(start, start, nil, time.Time{})
-	h.recordFailure(start.Add(time.Second), start.Add(time.Second))
+	h.recordFailure(start.Add(time.Second), false)
 	h.recordProbeStart(start.Add(time.Second))
 	h.checkProbeTimeout(start.Add(2 * time.Second))
 	began, now := start.Add(2*time.Second), start.Add(5*time.Second)
--- a/internal/inventory/store_health.go
+++ b/internal/inventory/store_health.go
@@ -42,7 +42,7 @@
 	// that got one.
 	probesServedSince time.Time
 	// callFailedAt is the time of the last failed call; callsHang is true if one has
-	// failed without a response since the last response to a call.
+	// timed out since the last response to a call.
 	callFailedAt time.Time
 	callsHang    bool
 	// pendingProbes are the start times of the probes that wait for a response,
@@ -105,10 +105,10 @@
 
 func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
 
-// recordFailure records a failed call that began at that time.
-func (h *storeHealth) recordFailure(now, began time.Time) {
+// recordFailure records a failed call, and whether it timed out.
+func (h *storeHealth) recordFailure(now time.Time, timedOut bool) {
 	h.callFailedAt = now
-	h.callsHang = h.callsHang || now.Sub(began) >= h.probeTimeout
+	h.callsHang = h.callsHang || timedOut
 	if h.callsFailingSince.IsZero() {
 		h.callsFailingSince = now
 	}
